--- /dev/null
+++ b/cmd/woadweir/main.go
@@ -0,0 +1,102 @@
+// Command woadweir runs one controller of the cluster scheduler.
+package main
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"runtime/debug"
+	"strings"
+
+	"github.com/alecthomas/kong"
+
+	"woadweir"
+	"woadweir/internal/config"
+	"woadweir/internal/node"
+)
+
+type cli struct {
+	Run     runCmd     `cmd:"" default:"withargs" help:"Run a controller until it is killed (the default)."`
+	Check   checkCmd   `cmd:"" help:"Read and check the settings, and print the first thing wrong."`
+	Version versionCmd `cmd:"" help:"Print the version."`
+}
+
+type files struct {
+	Config   string `required:"" placeholder:"PATH" help:"The platform's settings file (TOML)."`
+	Operator string `placeholder:"PATH" help:"The operators' own settings (XML). Without it, defaults hold."`
+}
+
+func (f *files) load() (*config.Settings, *config.Operator, error) {
+	s, err := config.Load(f.Config)
+	if err != nil {
+		return nil, nil, err
+	}
+	o, err := config.LoadOperator(f.Operator)
+	return s, o, err
+}
+
+// badSettings is reported with exit status 2.
+type badSettings struct{ error }
+
+type runCmd struct{ files }
+
+func (c *runCmd) Run() error {
+	s, o, err := c.load()
+	if err != nil {
+		return badSettings{err}
+	}
+	if mb := s.Params.Quota.RAMMB; mb > 0 && os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(mb * 0.7 * 1e6))
+	}
+	return node.Run(context.Background(), s, o)
+}
+
+type checkCmd struct{ files }
+
+func (c *checkCmd) Run() error {
+	if _, _, err := c.load(); err != nil {
+		return badSettings{err}
+	}
+	fmt.Println("settings are good")
+	return nil
+}
+
+type versionCmd struct{}
+
+func (versionCmd) Run() error {
+	fmt.Println("woadweir", woadweir.Version)
+	return nil
+}
+
+func logLevel() slog.Level {
+	switch strings.ToLower(os.Getenv("LOG_LEVEL")) {
+	case "debug":
+		return slog.LevelDebug
+	case "info":
+		return slog.LevelInfo
+	}
+	return slog.LevelError
+}
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()})))
+	var c cli
+	k, err := kong.New(&c, kong.Name("woadweir"), kong.Description("A cluster scheduler: one controller node."))
+	if err != nil {
+		panic(err)
+	}
+	ctx, err := k.Parse(os.Args[1:])
+	if err == nil {
+		err = ctx.Run()
+	} else {
+		err = badSettings{err}
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "woadweir:", strings.ReplaceAll(err.Error(), "\n", " "))
+		if _, bad := err.(badSettings); bad {
+			os.Exit(2)
+		}
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/cloud/cloud.go
@@ -0,0 +1,139 @@
+// Package cloud speaks to the cloud that rents machines.
+package cloud
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"woadweir/internal/core/model"
+)
+
+// Errors of the cloud.
+var (
+	ErrNoCapacity = errors.New("cloud: no capacity")
+	ErrTrouble    = errors.New("cloud: trouble")
+	ErrBusy       = errors.New("cloud: too many requests")
+)
+
+// Client speaks to the cloud.
+type Client struct {
+	addr string
+	hc   *fasthttp.HostClient
+}
+
+// NewClient makes a client.
+func NewClient(addr string) *Client {
+	return &Client{addr: addr, hc: &fasthttp.HostClient{Addr: addr, MaxConns: 8, MaxIdleConnDuration: time.Minute,
+		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		NoDefaultUserAgentHeader: true}}
+}
+
+// Machine is a line of the machine list.
+type Machine struct {
+	Ref     string  `json:"ref"`
+	Address string  `json:"address"`
+	Build   string  `json:"build"`
+	Yard    string  `json:"yard"`
+	Loaners bool    `json:"loaners"`
+	Status  string  `json:"status"`
+	HeldS   float64 `json:"heldS"`
+}
+
+// Rental is a request for machines.
+type Rental struct {
+	Hire    string `json:"hire"`
+	Build   string `json:"build"`
+	Yard    string `json:"yard"`
+	Loaners bool   `json:"loaners"`
+	Count   int    `json:"count"`
+}
+
+func (c *Client) do(method, uri string, in, out any, timeout model.Micros) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.addr + uri)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		req.SetBodyRaw(body)
+		req.Header.SetContentType("application/json")
+	}
+	if err := c.hc.DoTimeout(req, resp, timeout.Duration()); err != nil {
+		return fmt.Errorf("cloud: no response: %w", err)
+	}
+	switch code := resp.StatusCode(); code {
+	case 200:
+	case 429:
+		return ErrBusy
+	case 503:
+		var e struct {
+			Error string `json:"error"`
+		}
+		if json.Unmarshal(resp.Body(), &e) == nil && e.Error == "no capacity" {
+			return ErrNoCapacity
+		}
+		return ErrTrouble
+	default:
+		return fmt.Errorf("cloud: unexpected status %d", code)
+	}
+	if out == nil {
+		return nil
+	}
+	return json.Unmarshal(resp.Body(), out)
+}
+
+// Flavors reads the machine types with their current prices.
+func (c *Client) Flavors(timeout model.Micros) ([]model.Flavor, error) {
+	var out struct {
+		Builds []model.Flavor `json:"builds"`
+	}
+	err := c.do("GET", "/flavors", nil, &out, timeout)
+	return out.Builds, err
+}
+
+// Rent asks for machines and returns the names of those that were rented.
+func (c *Client) Rent(r *Rental, timeout model.Micros) ([]string, error) {
+	var out struct {
+		Hosts []string `json:"hosts"`
+	}
+	err := c.do("POST", "/rentals", r, &out, timeout)
+	return out.Hosts, err
+}
+
+// Delete returns machines; after a nil error they are gone.
+func (c *Client) Delete(refs []string, timeout model.Micros) error {
+	return c.do("POST", "/rentals/delete", map[string][]string{"hosts": refs}, nil, timeout)
+}
+
+// List reads the machine list, page by page.
+func (c *Client) List(timeout model.Micros) ([]Machine, error) {
+	var all []Machine
+	from := ""
+	for {
+		var out struct {
+			Hosts   []Machine `json:"hosts"`
+			HasNext bool      `json:"hasNext"`
+		}
+		uri := "/rentals?most=500"
+		if from != "" {
+			uri += "&from=" + url.QueryEscape(from)
+		}
+		if err := c.do("GET", uri, nil, &out, timeout); err != nil {
+			return nil, err
+		}
+		all = append(all, out.Hosts...)
+		if !out.HasNext || len(out.Hosts) == 0 {
+			return all, nil
+		}
+		from = out.Hosts[len(out.Hosts)-1].Ref
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,221 @@
+// Package config reads the settings: the platform's TOML file and the
+// operators' own XML file.
+package config
+
+import (
+	"encoding/xml"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"woadweir/internal/core/model"
+)
+
+// Sibling is another controller.
+type Sibling struct {
+	NodeName string `toml:"node_name"`
+	Area     string `toml:"area"`
+	Endpoint string `toml:"endpoint"`
+}
+
+// Team is a team's guarantee and limit.
+type Team struct {
+	Name    string  `toml:"name"`
+	CPUs    float64 `toml:"cpus"`
+	CPUsMax float64 `toml:"cpus_max"`
+	GPUs    float64 `toml:"gpus"`
+	GPUsMax float64 `toml:"gpus_max"`
+}
+
+// Objective is what is expected of a class.
+type Objective struct {
+	Kind    string  `toml:"kind"`
+	Class   string  `toml:"class"`
+	WithinS float64 `toml:"within_s"`
+	Share   float64 `toml:"share"`
+}
+
+// Settings is the platform's file. Fields it does not name are ignored.
+type Settings struct {
+	NodeName string    `toml:"node_name"`
+	Area     string    `toml:"area"`
+	ServeOn  string    `toml:"serve_on"`
+	Back     string    `toml:"back"`
+	Siblings []Sibling `toml:"siblings"`
+	Services struct {
+		Cloud string `toml:"cloud"`
+		State string `toml:"state"`
+	} `toml:"services"`
+	Params struct {
+		Zones        []string    `toml:"zones"`
+		ClockErrorMs float64     `toml:"clock_error_ms"`
+		Teams        []Team      `toml:"teams"`
+		Objectives   []Objective `toml:"objectives"`
+		Workers      struct {
+			ReportS   float64 `toml:"report_s"`
+			LeaseS    float64 `toml:"lease_s"`
+			GangWaitS float64 `toml:"gang_wait_s"`
+			GangPeerS float64 `toml:"gang_peer_s"`
+			CancelS   float64 `toml:"cancel_s"`
+		} `toml:"workers"`
+		State struct {
+			RPS      float64 `toml:"rps"`
+			WriteRPS float64 `toml:"write_rps"`
+			ValueKB  float64 `toml:"value_kb"`
+			TxnOps   int     `toml:"txn_ops"`
+		} `toml:"state"`
+		Cloud struct {
+			RPS      float64 `toml:"rps"`
+			ListLagS float64 `toml:"list_lag_s"`
+		} `toml:"cloud"`
+		Quota struct {
+			Cores   float64 `toml:"cores"`
+			RAMMB   float64 `toml:"ram_mb"`
+			FDLimit int     `toml:"fd_limit"`
+		} `toml:"quota"`
+	} `toml:"params"`
+}
+
+// Load reads and checks the platform's file.
+func Load(path string) (*Settings, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s, err := Parse(raw)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads and checks settings. The error names the first field at fault.
+func Parse(raw []byte) (*Settings, error) {
+	s := new(Settings)
+	if err := toml.Unmarshal(raw, s); err != nil {
+		return nil, err
+	}
+	return s, s.check()
+}
+
+type bound struct {
+	name    string
+	v       float64
+	lo, hi  float64
+	include bool // lo itself is allowed
+}
+
+func checkBounds(bs []bound) error {
+	for _, b := range bs {
+		if math.IsNaN(b.v) || b.v > b.hi || b.v < b.lo || b.v == b.lo && !b.include {
+			return fmt.Errorf("%s: %v is out of range", b.name, b.v)
+		}
+	}
+	return nil
+}
+
+func (s *Settings) check() error {
+	if s.NodeName == "" {
+		return fmt.Errorf("node_name: missing")
+	}
+	type addr struct{ name, v string }
+	addrs := []addr{{"serve_on", s.ServeOn}, {"back", s.Back}, {"services.cloud", s.Services.Cloud}, {"services.state", s.Services.State}}
+	for i, b := range s.Siblings {
+		if b.NodeName == "" {
+			return fmt.Errorf("siblings[%d].node_name: missing", i)
+		}
+		addrs = append(addrs, addr{fmt.Sprintf("siblings[%d].endpoint", i), b.Endpoint})
+	}
+	for _, a := range addrs {
+		if a.v == "" {
+			return fmt.Errorf("%s: missing", a.name)
+		}
+		if _, err := netip.ParseAddrPort(a.v); err != nil {
+			return fmt.Errorf("%s: %q is not an address with a port", a.name, a.v)
+		}
+	}
+	p := &s.Params
+	bounds := []bound{
+		{"params.workers.report_s", p.Workers.ReportS, 0, 3600, false},
+		{"params.workers.lease_s", p.Workers.LeaseS, 0, 86400, false},
+		{"params.workers.gang_wait_s", p.Workers.GangWaitS, 0, 86400, true},
+		{"params.workers.gang_peer_s", p.Workers.GangPeerS, 0, 86400, true},
+		{"params.workers.cancel_s", p.Workers.CancelS, 0, 86400, false},
+		{"params.state.rps", p.State.RPS, 0, 1e9, false},
+		{"params.state.write_rps", p.State.WriteRPS, 0, 1e9, false},
+		{"params.state.value_kb", p.State.ValueKB, 0, 1e6, false},
+		{"params.state.txn_ops", float64(p.State.TxnOps), 2, 1e6, true},
+		{"params.cloud.rps", p.Cloud.RPS, 0, 1e6, false},
+		{"params.cloud.list_lag_s", p.Cloud.ListLagS, 0, 3600, true},
+		{"params.clock_error_ms", p.ClockErrorMs, 0, 1e7, true},
+		{"params.quota.cores", p.Quota.Cores, 0, 1e4, true},
+		{"params.quota.ram_mb", p.Quota.RAMMB, 0, 1e7, true},
+	}
+	if len(p.Teams) == 0 {
+		return fmt.Errorf("params.teams: missing")
+	}
+	for i, t := range p.Teams {
+		at := func(f string) string { return fmt.Sprintf("params.teams[%d].%s", i, f) }
+		if t.Name == "" {
+			return fmt.Errorf("%s: missing", at("name"))
+		}
+		bounds = append(bounds, bound{at("cpus"), t.CPUs, 0, 1e9, true}, bound{at("cpus_max"), t.CPUsMax, 0, 1e9, true},
+			bound{at("gpus"), t.GPUs, 0, 1e9, true}, bound{at("gpus_max"), t.GPUsMax, 0, 1e9, true})
+	}
+	return checkBounds(bounds)
+}
+
+// Teams converts the teams.
+func (s *Settings) Teams() map[string]*model.Team {
+	m := map[string]*model.Team{}
+	for _, t := range s.Params.Teams {
+		m[t.Name] = &model.Team{Name: t.Name,
+			Guaranteed: model.Need{Cores: model.ToMilli(t.CPUs), GPUs: model.ToMilli(t.GPUs)},
+			Max:        model.Need{Cores: model.ToMilli(t.CPUsMax), GPUs: model.ToMilli(t.GPUsMax)}}
+	}
+	return m
+}
+
+// Operator is the operators' own file.
+type Operator struct {
+	XMLName           xml.Name `xml:"woadweir"`
+	ExtraCapacityRate float64  `xml:"extra-capacity-rate"`
+	LoopPeriodS       float64  `xml:"loop-period-s"`
+	Granularity       int      `xml:"granularity"`
+	BlockLeaseS       float64  `xml:"block-lease-s"`
+	RefusedPauseS     float64  `xml:"refused-pause-s"`
+}
+
+// DefaultOperator is what holds where the operators' file says nothing.
+func DefaultOperator() *Operator {
+	return &Operator{ExtraCapacityRate: 0.1, LoopPeriodS: 10, Granularity: 5, BlockLeaseS: 30, RefusedPauseS: 15}
+}
+
+// LoadOperator reads and checks the operators' file; an empty path gives the
+// defaults.
+func LoadOperator(path string) (*Operator, error) {
+	o := DefaultOperator()
+	if path == "" {
+		return o, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	if err := xml.Unmarshal(raw, o); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if err := checkBounds([]bound{
+		{"extra-capacity-rate", o.ExtraCapacityRate, 0, 1, true},
+		{"loop-period-s", o.LoopPeriodS, 0.1, 600, true},
+		{"granularity", float64(o.Granularity), 1, 100, true},
+		{"block-lease-s", o.BlockLeaseS, 2, 600, true},
+		{"refused-pause-s", o.RefusedPauseS, 0.1, 600, true},
+	}); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return o, nil
+}
--- /dev/null
+++ b/internal/core/block/learn.go
@@ -0,0 +1,44 @@
+package block
+
+import "woadweir/internal/core/model"
+
+// runStat is what is known of the run times of a class.
+type runStat struct {
+	n    int
+	mean float64 // microseconds, moving
+}
+
+func (h *Holder) learn(class string, run model.Micros) {
+	s := h.runs[class]
+	if s == nil {
+		s = &runStat{}
+		h.runs[class] = s
+	}
+	s.n++
+	weight := max(1/float64(s.n), 0.05)
+	s.mean += (float64(run) - s.mean) * weight
+}
+
+// Expected is how long a task of the job is thought to run: the owner's guess,
+// tempered by what the class has shown.
+func (h *Holder) Expected(j *model.Job) model.Micros {
+	s := h.runs[j.Class]
+	if s == nil || s.n < 3 {
+		return j.Guess
+	}
+	if j.Guess == 0 {
+		return model.Micros(s.mean)
+	}
+	return (j.Guess + model.Micros(s.mean)) / 2
+}
+
+// Remaining is how long a bound task is thought to go on.
+func (h *Holder) Remaining(b *model.Bound, now model.Micros) model.Micros {
+	e := h.Expected(b.Job)
+	if b.RunAt == 0 {
+		return e
+	}
+	ran := now - b.RunAt
+	// The longer it has run beyond what was expected, the longer it may go on.
+	return max(e-ran, ran/4)
+}
--- /dev/null
+++ b/internal/core/model/fleet.go
@@ -0,0 +1,214 @@
+package model
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// PieceID names one task of a job.
+type PieceID struct {
+	Job string
+	N   int
+}
+
+func (p PieceID) String() string { return fmt.Sprintf("%s/%d", p.Job, p.N) }
+
+// ParsePiece reads "j-000412/3".
+func ParsePiece(s string) (PieceID, bool) {
+	job, n, ok := strings.Cut(s, "/")
+	if !ok {
+		return PieceID{}, false
+	}
+	i, err := strconv.Atoi(n)
+	return PieceID{job, i}, err == nil && i >= 0
+}
+
+// Set is a set of task numbers, kept compactly: 100,000 of them still fit into
+// one value of the state service.
+type Set struct {
+	bits []byte
+	n    int
+}
+
+// SetOf reads the stored form.
+func SetOf(bits []byte) Set {
+	s := Set{bits: append([]byte(nil), bits...)}
+	for _, b := range bits {
+		for ; b != 0; b &= b - 1 {
+			s.n++
+		}
+	}
+	return s
+}
+
+// Bytes is the stored form.
+func (s *Set) Bytes() []byte { return s.bits }
+
+// Len is the number of members.
+func (s *Set) Len() int { return s.n }
+
+// Has tells whether i is a member.
+func (s *Set) Has(i int) bool { return i/8 < len(s.bits) && s.bits[i/8]&(1<<(i%8)) != 0 }
+
+// Add makes i a member and tells whether it was none before.
+func (s *Set) Add(i int) bool {
+	if s.Has(i) {
+		return false
+	}
+	for i/8 >= len(s.bits) {
+		s.bits = append(s.bits, 0)
+	}
+	s.bits[i/8] |= 1 << (i % 8)
+	s.n++
+	return true
+}
+
+// Status of a bound piece, as last reported.
+type Status uint8
+
+// The states of a task; Unseen means that no report has shown it yet.
+const (
+	Unseen Status = iota
+	Pulling
+	Gathering
+	Running
+	Saving
+	Ended
+)
+
+// StatusOf reads the wire form.
+func StatusOf(s string) Status {
+	switch s {
+	case "pulling":
+		return Pulling
+	case "gathering":
+		return Gathering
+	case "running":
+		return Running
+	case "saving":
+		return Saving
+	case "ended":
+		return Ended
+	}
+	return Unseen
+}
+
+// Bound is a piece bound to a host: from the decision until there is proof that
+// it is gone.
+type Bound struct {
+	ID     PieceID
+	Try    uint64
+	Job    *Job
+	Host   *Host
+	Ver    uint64 // version of the host's record that first holds it
+	Status Status
+	// SentTenure and SentTally name the report whose response last carried the
+	// start; both 0 if this process never sent it.
+	SentTenure, SentTally uint64
+	Seen                  bool   // a report under our token has shown it
+	At                    Micros // when it was bound
+	RunAt                 Micros // first seen running, 0 if not yet
+	Stop                  bool   // it is to be stopped
+	Leeway                Micros // grace of that stop
+	StopAt                Micros // when the stop was decided
+	StopSent              Micros // when it was first sent
+	Why                   string // why it is stopped
+}
+
+// Host is a machine.
+type Host struct {
+	Ref, Addr, Build, Yard string
+	Spot                   bool
+	Size                   Need
+	Used                   Need
+	Bound                  map[PieceID]*Bound
+	Ver, DurableVer        uint64
+	Stored                 bool // a record of it is in the state service
+
+	Up            bool // has reported to us
+	Tenure, Tally uint64
+	Heard         Micros // last report taken
+	Answered      Micros // latest moment at which an entitled node may have answered it
+	Warrant       uint64 // highest token it has told us
+	Recall        bool   // spot notice seen
+	RecallAt      Micros // when it is taken
+	RentedAt      Micros
+	EmptyAt       Micros // since when nothing is bound to it
+	Lost          bool   // its lease surely ran out, nothing heard since
+	Leaving       bool   // to be returned once empty: no new work
+	Deleting      bool   // a deletion is on its way
+	Sick          bool
+	Errors        int // errors in a row
+	ErrorJobs     map[string]bool
+	Done          int // tasks completed
+	Listed        bool
+	Failed        bool
+	Cache         []string // images, most recently used last
+	CacheGB       map[string]float64
+}
+
+// Free is the room left.
+func (h *Host) Free() Need { return h.Size.Minus(h.Used) }
+
+// HasImage tells whether the image is cached or being fetched by a task that is
+// bound here.
+func (h *Host) HasImage(img string) bool {
+	for _, c := range h.Cache {
+		if c == img {
+			return true
+		}
+	}
+	return false
+}
+
+// TouchImage notes a use of an image and forgets those that no longer fit.
+func (h *Host) TouchImage(img string, gb, cacheGB float64) {
+	for i, c := range h.Cache {
+		if c == img {
+			h.Cache = append(append(h.Cache[:i:i], h.Cache[i+1:]...), img)
+			return
+		}
+	}
+	if h.CacheGB == nil {
+		h.CacheGB = map[string]float64{}
+	}
+	h.Cache = append(h.Cache, img)
+	h.CacheGB[img] = gb
+	total := 0.0
+	for _, c := range h.Cache {
+		total += h.CacheGB[c]
+	}
+	for total > cacheGB && len(h.Cache) > 1 {
+		total -= h.CacheGB[h.Cache[0]]
+		delete(h.CacheGB, h.Cache[0])
+		h.Cache = h.Cache[1:]
+	}
+}
+
+// JobState is a job with what has become of it, as its home holds it.
+type JobState struct {
+	*Job
+	Done       Set
+	ProgVer    uint64 // version of Done
+	ProgStored uint64 // version of Done that is durable
+	Ended      string // "", "done" or "withdrawn", durable
+	EndWanted  bool   // all done: the end is to be written
+	Bound      map[int][]*Bound
+	Waiting    []int // unbound and not done, ascending
+	Try        uint64
+	Broken     bool // gang attempt to be ended before the next
+	NotBefore  Micros
+	ErrorHosts map[string]bool
+	SeenAt     Micros
+	FirstRun   Micros
+}
+
+// BoundCount is the number of bound pieces, old attempts included.
+func (j *JobState) BoundCount() int {
+	n := 0
+	for _, b := range j.Bound {
+		n += len(b)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/core/model/model.go
@@ -0,0 +1,127 @@
+// Package model holds the vocabulary of the scheduler: amounts, times, jobs,
+// machine types, teams, hosts and the pieces bound to them. Nothing in it does
+// any input or output.
+package model
+
+import (
+	"math"
+	"time"
+)
+
+// Micros is a time or a duration in whole microseconds. Points in time are on
+// the steady clock of this process.
+type Micros int64
+
+// Common durations.
+const (
+	Millisecond Micros = 1_000
+	Second      Micros = 1_000_000
+)
+
+// Seconds converts decimal seconds.
+func Seconds(s float64) Micros { return Micros(math.Round(s * 1e6)) }
+
+// Duration converts to the standard library's type.
+func (m Micros) Duration() time.Duration { return time.Duration(m) * time.Microsecond }
+
+// Seconds converts to decimal seconds.
+func (m Micros) Seconds() float64 { return float64(m) / 1e6 }
+
+// Milli is an amount (cores, GPUs, gigabytes) in thousandths.
+type Milli int64
+
+// ToMilli converts a decimal amount, rounding half away from zero.
+func ToMilli(f float64) Milli { return Milli(math.Round(f * 1000)) }
+
+// CeilMilli converts a decimal demand, rounding up, so that what is booked is
+// never less than what is taken.
+func CeilMilli(f float64) Milli { return Milli(math.Ceil(f*1000 - 1e-6)) }
+
+// Need is what one task takes of its machine, or what a machine has.
+type Need struct{ Cores, GPUs, Mem Milli }
+
+// Plus adds two amounts.
+func (n Need) Plus(o Need) Need { return Need{n.Cores + o.Cores, n.GPUs + o.GPUs, n.Mem + o.Mem} }
+
+// Minus subtracts o.
+func (n Need) Minus(o Need) Need { return Need{n.Cores - o.Cores, n.GPUs - o.GPUs, n.Mem - o.Mem} }
+
+// Times multiplies by a count.
+func (n Need) Times(k int) Need {
+	return Need{n.Cores * Milli(k), n.GPUs * Milli(k), n.Mem * Milli(k)}
+}
+
+// Fits tells whether n fits into room.
+func (n Need) Fits(room Need) bool {
+	return n.Cores <= room.Cores && n.GPUs <= room.GPUs && n.Mem <= room.Mem
+}
+
+// IsZero tells whether nothing is asked.
+func (n Need) IsZero() bool { return n == Need{} }
+
+// Count tells how many times n fits into room, at most limit.
+func (n Need) Count(room Need, limit int) int {
+	k := Milli(limit)
+	for _, p := range [...][2]Milli{{n.Cores, room.Cores}, {n.GPUs, room.GPUs}, {n.Mem, room.Mem}} {
+		if p[1] < 0 {
+			return 0
+		}
+		if p[0] > 0 {
+			k = min(k, p[1]/p[0])
+		}
+	}
+	return int(k)
+}
+
+// Flavor is a machine type of the cloud.
+type Flavor struct {
+	Label     string   `json:"label"`
+	Cores     float64  `json:"cores"`
+	GPUs      float64  `json:"gpus"`
+	MemoryGB  float64  `json:"memoryGb"`
+	CacheGB   float64  `json:"cacheGb"`
+	FetchGBps float64  `json:"fetchGbPerS"`
+	Price     float64  `json:"price"`
+	LowPrice  float64  `json:"lowPrice"`
+	BootS     float64  `json:"bootS"`
+	Yards     []string `json:"yards"`
+}
+
+// Size is what a machine of this type has.
+func (f *Flavor) Size() Need {
+	return Need{ToMilli(f.Cores), ToMilli(f.GPUs), ToMilli(f.MemoryGB)}
+}
+
+// In tells whether the type is offered in the yard.
+func (f *Flavor) In(yard string) bool {
+	for _, y := range f.Yards {
+		if y == yard {
+			return true
+		}
+	}
+	return false
+}
+
+// PriceOf is the current price per hour.
+func (f *Flavor) PriceOf(spot bool) float64 {
+	if spot {
+		return f.LowPrice
+	}
+	return f.Price
+}
+
+// Team is what a team is guaranteed and limited to.
+type Team struct {
+	Name       string
+	Guaranteed Need
+	Max        Need
+}
+
+// Within tells whether use stays inside the team's limit (memory is not
+// limited).
+func (t *Team) Within(use Need) bool { return use.Cores <= t.Max.Cores && use.GPUs <= t.Max.GPUs }
+
+// WithinGuarantee tells whether use stays inside the team's guarantee.
+func (t *Team) WithinGuarantee(use Need) bool {
+	return use.Cores <= t.Guaranteed.Cores && use.GPUs <= t.Guaranteed.GPUs
+}
--- /dev/null
+++ b/internal/node/controller.go
@@ -0,0 +1,592 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"woadweir/internal/config"
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/lead"
+	"woadweir/internal/core/model"
+	"woadweir/internal/core/slack"
+	"woadweir/internal/state"
+	"woadweir/internal/userapi"
+	"woadweir/internal/workerapi"
+)
+
+// Lanes of transactions: at most one of each is on its way.
+const (
+	laneElect = iota
+	laneUsers
+	laneHolder
+	laneMisc
+	lanes
+)
+
+// theBlock is the one block of the present policy: the leader holds it.
+const theBlock = "b0"
+
+// Rhythm of the catch-ups.
+const (
+	syncGap      = 60 * model.Millisecond  // at least, between two
+	syncLeader   = 200 * model.Millisecond // at most, by the leader
+	syncFollower = 400 * model.Millisecond // at most, by others
+	syncOrphan   = 150 * model.Millisecond // at most, without a leader
+	holdCheckin  = 250 * model.Millisecond // a response waits so long for its bindings
+)
+
+// held is a response to a worker that waits for bindings to become durable.
+type held struct {
+	msg   msgCheckin
+	until model.Micros
+}
+
+// controller is the actor that owns the view, the user queue and, when leading,
+// the holder and the renting loop.
+type controller struct {
+	set   *config.Settings
+	op    *config.Operator
+	clock Clock
+	io    effects
+	now   model.Micros
+	wall  func() int64 // time of day, ms
+
+	teams   map[string]*model.Team
+	auth    lead.Authority
+	session uint64
+	view    *state.View
+	loaded  bool
+
+	syncing   bool
+	syncAt    model.Micros // when the last one was sent
+	syncOK    model.Micros // when the last good one was sent
+	syncNotBy model.Micros // not before, after an error
+	wantList  bool
+	waiting   []func(ok bool) // run when a catch-up that starts later has ended
+	inSync    []func(ok bool) // those of the one on its way
+
+	users  []userWrite
+	busy   [lanes]bool
+	pauses [lanes]model.Micros
+	budget *state.Budget
+
+	leading *leadership
+}
+
+func newController(set *config.Settings, op *config.Operator, spans lead.Spans, clock Clock, io effects) *controller {
+	return &controller{set: set, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
+		view: state.NewView(), wantList: true, budget: state.NewBudget(set.Params.State.WriteRPS / 4),
+		wall: func() int64 { return time.Now().UnixMilli() }}
+}
+
+// run takes messages until the context ends.
+func (c *controller) run(ctx context.Context, mail <-chan any) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-mail:
+			c.take(m)
+			for range 64 {
+				select {
+				case m = <-mail:
+					c.take(m)
+					continue
+				default:
+				}
+				break
+			}
+		}
+		c.step()
+	}
+}
+
+func (c *controller) take(m any) {
+	c.now = c.clock()
+	switch m := m.(type) {
+	case msgTick:
+	case msgPoll:
+		c.poll(m)
+	case msgSubmit:
+		c.submit(m)
+	case msgWithdraw:
+		c.withdraw(m)
+	case msgUp:
+		m.reply <- c.loaded && c.now-c.syncOK < 3*model.Second
+	case msgCheckin:
+		c.checkin(m)
+	case msgSession:
+		c.sessionNews(m)
+	case msgSynced:
+		c.synced(m)
+	case msgCommitted:
+		c.committed(m)
+	case msgFlavors:
+		c.gotFlavors(m)
+	case msgListed:
+		c.listed(m)
+	case msgRented:
+		c.rented(m)
+	case msgDeleted:
+		c.deleted(m)
+	default:
+		panic("node: unknown message")
+	}
+}
+
+// step does what is due.
+func (c *controller) step() {
+	c.now = c.clock()
+	c.startSync()
+	c.elect()
+	c.pumpUsers()
+	if c.leading != nil {
+		c.lead()
+	}
+}
+
+// --- session and leadership
+
+func (c *controller) sessionNews(m msgSession) {
+	if m.id == 0 {
+		c.auth.Ended()
+		c.session = 0
+		c.stepDown("session over")
+		return
+	}
+	if m.id != c.session && c.session != 0 {
+		c.stepDown("new session")
+	}
+	c.session = m.id
+	c.auth.Touched(m.sent)
+}
+
+// elect tries for the leader's key when nobody has it.
+func (c *controller) elect() {
+	if c.view.Leader != nil || c.leading != nil || c.session == 0 || c.busy[laneElect] || c.now < c.pauses[laneElect] || !c.auth.Holds(c.now) {
+		return
+	}
+	grant := "grant/" + theBlock
+	t := &state.Txn{
+		Guards: []state.Guard{{Path: "leader", Stamp: 0}, {Path: grant, Stamp: c.view.Stamps[grant]}},
+		Then: []state.Op{
+			{Set: "leader", Value: state.LeaderRecord{Node: c.set.NodeName, Session: c.session}, Tenancy: c.session},
+			{Set: grant, Value: state.GrantRecord{Holder: c.set.NodeName, Session: c.session, Credit: c.credit()}},
+		}}
+	c.send(laneElect, msgCommitted{txn: t, token: c.session})
+}
+
+// credit is each team's whole limit: the one holder has it all.
+func (c *controller) credit() map[string]model.Need {
+	m := map[string]model.Need{}
+	for n, t := range c.teams {
+		m[n] = t.Max
+	}
+	return m
+}
+
+func (c *controller) elected(m msgCommitted) {
+	c.pauses[laneElect] = c.now + 300*model.Millisecond
+	if m.err != nil || !m.res.OK {
+		return
+	}
+	if m.token != c.session {
+		// The session it was won with is over, and the key with it.
+		return
+	}
+	for _, op := range m.txn.Then {
+		c.view.Put(op.Set, op.Value, m.res.Epoch)
+	}
+	slog.Info("leader", "token", m.res.Epoch)
+	c.budget.SetRate(c.set.Params.State.WriteRPS*0.75, c.now)
+	c.leading = newLeadership(c, m.res.Epoch)
+}
+
+func (c *controller) stepDown(why string) {
+	if c.leading == nil {
+		return
+	}
+	slog.Info("step down", "why", why)
+	for _, h := range c.leading.held {
+		h.msg.reply <- c.elsewhere()
+	}
+	c.leading = nil
+	c.budget.SetRate(c.set.Params.State.WriteRPS/8, c.now)
+}
+
+// --- catching up
+
+func (c *controller) afterSync(f func(ok bool)) { c.waiting = append(c.waiting, f) }
+
+func (c *controller) startSync() {
+	if c.syncing || c.now < c.syncNotBy || c.now-c.syncAt < syncGap && c.syncAt != 0 {
+		return
+	}
+	gap := syncFollower
+	switch {
+	case c.leading != nil:
+		gap = syncLeader
+	case c.view.Leader == nil:
+		gap = syncOrphan
+	}
+	if len(c.waiting) == 0 && c.loaded && c.now-c.syncAt < gap {
+		return
+	}
+	c.syncing, c.syncAt = true, c.now
+	c.inSync, c.waiting = c.waiting, nil
+	c.io.sync(c.view.Epoch, c.wantList)
+}
+
+func (c *controller) synced(m msgSynced) {
+	c.syncing = false
+	waiters := c.inSync
+	c.inSync = nil
+	if m.err != nil {
+		slog.Debug("sync", "err", m.err)
+		if errors.Is(m.err, state.ErrTooOld) {
+			c.wantList = true
+		} else {
+			c.syncNotBy = c.now + 200*model.Millisecond
+		}
+		for _, f := range waiters {
+			f(false)
+		}
+		return
+	}
+	if m.view != nil {
+		c.view, c.loaded, c.wantList = m.view, true, false
+		if c.leading != nil {
+			c.leading.reload()
+		}
+	} else {
+		for i := range m.changes.Events {
+			c.apply(&m.changes.Events[i])
+		}
+		c.view.Epoch = max(c.view.Epoch, m.changes.Epoch)
+	}
+	c.syncOK = m.sent
+	c.auth.Synced(m.sent)
+	if l := c.leading; l != nil {
+		if c.view.Leader == nil || c.view.Leader.Session != c.session || c.view.Stamps["grant/"+theBlock] != l.token {
+			c.stepDown("the state says that another leads")
+		} else if !l.ready && c.view.Epoch >= l.token {
+			l.takeOver()
+		}
+		l.resync = false
+	}
+	for _, f := range waiters {
+		f(true)
+	}
+}
+
+// apply takes a change into the view, and tells the holder of new and ended
+// jobs.
+func (c *controller) apply(e *state.Event) {
+	if e.Drop != "" {
+		c.view.Drop(e.Drop, e.Stamp)
+		return
+	}
+	if !c.view.Set(e.Set, e.Value, e.Stamp) {
+		return
+	}
+	if c.leading == nil || !c.leading.ready {
+		return
+	}
+	if ref, part, ok := jobKey(e.Set); ok && part != "progress" {
+		c.leading.jobNews(ref)
+	}
+}
+
+func jobKey(path string) (ref, part string, ok bool) {
+	rest, ok := strings.CutPrefix(path, "job/")
+	if !ok {
+		return "", "", false
+	}
+	return strings.Cut(rest, "/")
+}
+
+// --- users
+
+func (c *controller) poll(m msgPoll) {
+	if end, ok := c.view.Final(m.ref); ok {
+		// An end never changes: it may be told at any time.
+		m.reply <- c.pollAnswer(m.ref, end)
+		return
+	}
+	c.afterSync(func(ok bool) {
+		if !ok {
+			m.reply <- userapi.Error(503, "state not reachable", 1)
+			return
+		}
+		m.reply <- c.pollAnswer(m.ref, "")
+	})
+}
+
+func (c *controller) pollAnswer(ref, _ string) userapi.Answer {
+	status, done, running, known := c.view.Status(ref)
+	if !known {
+		return userapi.Error(404, "no such job", 0)
+	}
+	return userapi.State(ref, status, done, running)
+}
+
+// maxUserQueue bounds the submissions that wait: more could not be written in
+// time, and are refused at once.
+func (c *controller) maxUserQueue() int { return max(16, int(c.set.Params.State.WriteRPS)) }
+
+func (c *controller) submit(m msgSubmit) {
+	if status, _, _, known := c.view.Status(m.ref); known {
+		if _, ended := c.view.Final(m.ref); ended {
+			m.reply <- userapi.Accepted(200, m.ref, status)
+			return
+		}
+		c.afterSync(func(ok bool) {
+			if !ok {
+				m.reply <- userapi.Error(503, "state not reachable", 1)
+				return
+			}
+			status, _, _, _ := c.view.Status(m.ref)
+			m.reply <- userapi.Accepted(200, m.ref, status)
+		})
+		return
+	}
+	if m.err != nil {
+		c.refuseUnknown(m, 400, m.err.Error())
+		return
+	}
+	if len(c.view.Flavors) == 0 {
+		m.reply <- userapi.Error(503, "machine types not known yet", 1)
+		return
+	}
+	if why := m.sub.Job(0).CanEverRun(c.teams, c.view.Flavors); why != "" {
+		c.refuseUnknown(m, 422, why)
+		return
+	}
+	if len(c.users) >= c.maxUserQueue() {
+		m.reply <- userapi.Error(429, "too many submissions", 2)
+		return
+	}
+	for i := range c.users {
+		if c.users[i].ref == m.ref && c.users[i].sub != nil {
+			c.users[i].reply = append(c.users[i].reply, m.reply)
+			return
+		}
+	}
+	m.sub.AtMs = c.wall()
+	c.users = append(c.users, userWrite{ref: m.ref, sub: m.sub, reply: []chan<- userapi.Answer{m.reply}, expiry: c.now + 4*model.Second})
+}
+
+// refuseUnknown refuses a submission, unless its job turns out to be known: a
+// known job is never answered 400 or 422, whatever its repetition says.
+func (c *controller) refuseUnknown(m msgSubmit, code int, why string) {
+	c.afterSync(func(ok bool) {
+		if !ok {
+			m.reply <- userapi.Error(503, "state not reachable", 1)
+			return
+		}
+		if status, _, _, known := c.view.Status(m.ref); known {
+			m.reply <- userapi.Accepted(200, m.ref, status)
+			return
+		}
+		m.reply <- userapi.Error(code, why, 0)
+	})
+}
+
+func (c *controller) withdraw(m msgWithdraw) {
+	if end, ok := c.view.Final(m.ref); ok {
+		m.reply <- userapi.Accepted(200, m.ref, end)
+		return
+	}
+	c.afterSync(func(ok bool) {
+		if !ok {
+			m.reply <- userapi.Error(503, "state not reachable", 1)
+			return
+		}
+		if end, ok := c.view.Final(m.ref); ok {
+			m.reply <- userapi.Accepted(200, m.ref, end)
+			return
+		}
+		if _, _, _, known := c.view.Status(m.ref); !known {
+			m.reply <- userapi.Error(404, "no such job", 0)
+			return
+		}
+		w := userWrite{ref: m.ref, reply: []chan<- userapi.Answer{m.reply}, expiry: c.now + 4*model.Second}
+		// Cancellations go before acceptances.
+		c.users = append([]userWrite{w}, c.users...)
+	})
+}
+
+// pumpUsers makes acceptances and cancellations durable.
+func (c *controller) pumpUsers() {
+	if len(c.users) == 0 {
+		return
+	}
+	c.users = slices.DeleteFunc(c.users, func(u userWrite) bool {
+		if c.now < u.expiry {
+			return false
+		}
+		u.answer(userapi.Error(503, "try again", 1))
+		return true
+	})
+	if c.busy[laneUsers] || c.now < c.pauses[laneUsers] {
+		return
+	}
+	n := min(len(c.users), c.set.Params.State.TxnOps, c.budget.Left(c.now))
+	if n <= 0 {
+		return
+	}
+	t := &state.Txn{}
+	var batch, rest []userWrite
+	size := 0
+	taken := map[string]bool{}
+	for i, u := range c.users {
+		var value any
+		var bytes int
+		if u.sub != nil {
+			raw, err := json.Marshal(u.sub)
+			if err != nil || len(raw) > int(c.set.Params.State.ValueKB*1000) {
+				u.answer(userapi.Error(400, "too large", 0))
+				continue
+			}
+			bytes, value = len(raw), u.sub
+		} else {
+			bytes, value = 64, block.EndRecord{Status: "withdrawn"}
+		}
+		if len(batch) == n || size+bytes > 40_000 || taken[u.ref] {
+			rest = append(rest, c.users[i])
+			continue
+		}
+		taken[u.ref] = true
+		size += bytes + 200
+		spec, end := "job/"+u.ref+"/spec", "job/"+u.ref+"/end"
+		if u.sub != nil {
+			// The records of ended jobs are cleared away, so the end has to be asked
+			// after too, or a late repetition would run the job once more.
+			t.Guards = append(t.Guards, state.Guard{Path: spec}, state.Guard{Path: end})
+			t.Then = append(t.Then, state.Op{Set: spec, Value: value})
+		} else {
+			t.Guards = append(t.Guards, state.Guard{Path: spec, Stamp: c.view.Stamps[spec]}, state.Guard{Path: end})
+			t.Then = append(t.Then, state.Op{Set: end, Value: value})
+		}
+		batch = append(batch, u)
+	}
+	c.users = rest
+	if len(batch) == 0 {
+		return
+	}
+	c.budget.Spend(len(batch), c.now)
+	c.send(laneUsers, msgCommitted{txn: t, users: batch})
+}
+
+func (u *userWrite) answer(a userapi.Answer) {
+	for _, r := range u.reply {
+		r <- a
+	}
+	u.reply = nil
+}
+
+func (c *controller) usersCommitted(m msgCommitted) {
+	switch {
+	case m.err != nil && errors.Is(m.err, state.ErrBusy):
+		c.budget.Drain(c.now)
+		c.pauses[laneUsers] = c.now + 100*model.Millisecond
+		c.users = append(m.users, c.users...)
+	case m.err != nil:
+		c.pauses[laneUsers] = c.now + 100*model.Millisecond
+		for i := range m.users {
+			m.users[i].answer(userapi.Error(503, "state not reachable", 1))
+		}
+	case m.res.OK:
+		for i := range m.users {
+			u := &m.users[i]
+			if u.sub != nil {
+				c.view.Put("job/"+u.ref+"/spec", u.sub, m.res.Epoch)
+				u.answer(userapi.Accepted(201, u.ref, "pending"))
+			} else {
+				c.view.Put("job/"+u.ref+"/end", block.EndRecord{Status: "withdrawn"}, m.res.Epoch)
+				u.answer(userapi.Accepted(200, u.ref, "withdrawn"))
+			}
+			if c.leading != nil && c.leading.ready {
+				c.leading.jobNews(u.ref)
+			}
+		}
+	default:
+		failed := map[string]bool{}
+		for _, p := range m.res.Failed {
+			if ref, _, ok := jobKey(p); ok {
+				failed[ref] = true
+			}
+		}
+		for _, u := range m.users {
+			if !failed[u.ref] {
+				c.users = append(c.users, u)
+				continue
+			}
+			// Somebody was faster: the state says what became of the job.
+			c.afterSync(func(ok bool) {
+				status, _, _, known := c.view.Status(u.ref)
+				_, ended := c.view.Final(u.ref)
+				switch {
+				case !ok:
+					u.answer(userapi.Error(503, "state not reachable", 1))
+				case known && (u.sub != nil || ended):
+					u.answer(userapi.Accepted(200, u.ref, status))
+				default:
+					c.users = append(c.users, u)
+				}
+			})
+		}
+	}
+}
+
+// --- transactions
+
+func (c *controller) send(lane int, m msgCommitted) {
+	m.lane = lane
+	c.busy[lane] = true
+	c.io.commit(m)
+}
+
+func (c *controller) committed(m msgCommitted) {
+	c.busy[m.lane] = false
+	switch m.lane {
+	case laneElect:
+		c.elected(m)
+	case laneUsers:
+		c.usersCommitted(m)
+	default:
+		if c.leading != nil && c.leading.token == m.token {
+			c.leading.committed(m)
+		}
+	}
+}
+
+// --- workers
+
+// elsewhere tells a worker where to go.
+func (c *controller) elsewhere() workerAnswer {
+	steward := ""
+	if l := c.view.Leader; l != nil && l.Node != c.set.NodeName && c.auth.Fresh(c.now) {
+		steward = l.Node
+	}
+	return workerAnswer{421, workerapi.Elsewhere(steward)}
+}
+
+func (c *controller) checkin(m msgCheckin) {
+	if c.leading == nil {
+		m.reply <- c.elsewhere()
+		return
+	}
+	if !c.leading.ready || !c.auth.Holds(c.now) {
+		m.reply <- workerAnswer{503, []byte("{}")}
+		return
+	}
+	c.leading.checkin(m)
+}
+
+var _ = slack.Defaults
--- /dev/null
+++ b/internal/node/io.go
@@ -0,0 +1,126 @@
+package node
+
+import (
+	"context"
+	"errors"
+
+	"woadweir/internal/cloud"
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/model"
+	"woadweir/internal/core/slack"
+	"woadweir/internal/state"
+)
+
+// effects is what the controller actor may ask of the world. Every answer comes
+// back as a message; tests put scripted peers in its place.
+type effects interface {
+	sync(from uint64, list bool)
+	commit(m msgCommitted)
+	flavors()
+	list()
+	rent(m msgRented)
+	remove(refs []string, term uint64)
+}
+
+// inputOutput carries the effects out, each in a goroutine of its own.
+type inputOutput struct {
+	mail  chan<- any
+	clock Clock
+	state *state.Client
+	cloud *cloud.Client
+	ctx   context.Context
+}
+
+func (io *inputOutput) send(m any) {
+	select {
+	case io.mail <- m:
+	case <-io.ctx.Done():
+	}
+}
+
+const (
+	syncPatience   = 1500 * model.Millisecond
+	commitPatience = 2500 * model.Millisecond
+	cloudPatience  = 5 * model.Second
+)
+
+func (io *inputOutput) sync(from uint64, list bool) {
+	go func() {
+		m := msgSynced{sent: io.clock()}
+		if list {
+			v := state.NewView()
+			m.view = v
+			v.Epoch, m.err = io.state.List(2*syncPatience, func(e state.Entry) { v.Set(e.Path, e.Value, e.Stamp) })
+			v.Recount()
+		} else {
+			m.changes, m.err = io.state.Watch(from, syncPatience)
+		}
+		io.send(m)
+	}()
+}
+
+func (io *inputOutput) commit(m msgCommitted) {
+	go func() {
+		m.res, m.err = io.state.Commit(m.txn, commitPatience)
+		io.send(m)
+	}()
+}
+
+func (io *inputOutput) flavors() {
+	go func() {
+		fs, err := io.cloud.Flavors(cloudPatience)
+		io.send(msgFlavors{fs, err})
+	}()
+}
+
+func (io *inputOutput) list() {
+	go func() {
+		sent := io.clock()
+		ms, err := io.cloud.List(cloudPatience)
+		io.send(msgListed{sent, ms, err})
+	}()
+}
+
+// rent repeats a request without an answer under its own name, which rents
+// nothing twice.
+func (io *inputOutput) rent(m msgRented) {
+	go func() {
+		for try := 0; ; try++ {
+			m.hosts, m.err = io.cloud.Rent(&m.rental, cloudPatience)
+			if m.err == nil || errors.Is(m.err, cloud.ErrNoCapacity) || try == 4 {
+				break
+			}
+			if !pause(io.ctx, model.Second) {
+				break
+			}
+		}
+		io.send(m)
+	}()
+}
+
+func (io *inputOutput) remove(refs []string, term uint64) {
+	go func() { io.send(msgDeleted{refs, io.cloud.Delete(refs, cloudPatience), term}) }()
+}
+
+// guards of a holder's transaction.
+func holderTxn(ws []block.Write, stamps map[string]uint64, grant state.Guard, lane func(block.Write) bool) *state.Txn {
+	t := &state.Txn{Guards: []state.Guard{grant}}
+	for _, w := range ws {
+		if !lane(w) {
+			continue
+		}
+		g := state.Guard{Path: w.Key, Stamp: stamps[w.Key]}
+		if w.Create {
+			g.Stamp = 0
+		}
+		t.Guards = append(t.Guards, g)
+		if w.Value == nil {
+			t.Then = append(t.Then, state.Op{Drop: w.Key})
+		} else {
+			t.Then = append(t.Then, state.Op{Set: w.Key, Value: w.Value})
+		}
+	}
+	return t
+}
+
+var _ = slack.Offer{}
--- /dev/null
+++ b/internal/node/messages.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"woadweir/internal/cloud"
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/model"
+	"woadweir/internal/core/slack"
+	"woadweir/internal/state"
+	"woadweir/internal/userapi"
+)
+
+// The messages that the controller actor takes. Whoever sends one with a reply
+// channel gives it a buffer of one, so that the actor never waits.
+type (
+	// msgPoll, msgSubmit and msgWithdraw are users' requests.
+	msgPoll struct {
+		ref   string
+		reply chan<- userapi.Answer
+	}
+	msgSubmit struct {
+		ref   string
+		sub   *model.Submission
+		err   error
+		reply chan<- userapi.Answer
+	}
+	msgWithdraw struct {
+		ref   string
+		reply chan<- userapi.Answer
+	}
+	// msgUp is a health check.
+	msgUp struct{ reply chan<- bool }
+	// msgCheckin is a worker's report.
+	msgCheckin struct {
+		report *block.Report
+		reply  chan<- workerAnswer
+	}
+	// msgSession tells of the session: a new one, a touch, or its end (id 0).
+	msgSession struct {
+		id   uint64
+		sent model.Micros
+	}
+	// msgSynced is the end of a catch-up.
+	msgSynced struct {
+		sent    model.Micros
+		changes *state.Changes
+		view    *state.View // after a listing
+		err     error
+	}
+	// msgCommitted is the end of a transaction.
+	msgCommitted struct {
+		lane   int
+		res    *state.Result
+		err    error
+		writes []block.Write
+		users  []userWrite
+		txn    *state.Txn
+		token  uint64 // the grant it ran under
+	}
+	// Answers of the cloud.
+	msgFlavors struct {
+		builds []model.Flavor
+		err    error
+	}
+	msgListed struct {
+		sent     model.Micros
+		machines []cloud.Machine
+		err      error
+	}
+	msgRented struct {
+		rental cloud.Rental
+		offer  slack.Offer
+		hosts  []string
+		err    error
+		term   uint64
+	}
+	msgDeleted struct {
+		refs []string
+		err  error
+		term uint64
+	}
+	msgTick struct{}
+)
+
+// workerAnswer is a response to a worker.
+type workerAnswer struct {
+	code int
+	body []byte
+}
+
+// userWrite is an acceptance or a cancellation on its way to being durable.
+type userWrite struct {
+	ref    string
+	sub    *model.Submission // nil: a cancellation
+	reply  []chan<- userapi.Answer
+	expiry model.Micros
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,210 @@
+// Package node wires a controller: sockets and timers round the core, and the
+// actors that own the state.
+package node
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"golang.org/x/sync/errgroup"
+
+	"woadweir/internal/cloud"
+	"woadweir/internal/config"
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/lead"
+	"woadweir/internal/core/model"
+	"woadweir/internal/state"
+	"woadweir/internal/userapi"
+	"woadweir/internal/workerapi"
+)
+
+// Clock gives the steady time of this process.
+type Clock func() model.Micros
+
+// SteadyClock counts from its own start.
+func SteadyClock() Clock {
+	start := time.Now()
+	return func() model.Micros { return model.Micros(time.Since(start) / time.Microsecond) }
+}
+
+// Run serves until the context ends or a listener fails.
+func Run(ctx context.Context, set *config.Settings, op *config.Operator) error {
+	clock := SteadyClock()
+	ln, err := net.Listen("tcp4", set.ServeOn)
+	if err != nil {
+		return err
+	}
+	w := set.Params.Workers
+	spans := lead.Settle(model.Seconds(op.BlockLeaseS), model.Seconds(w.LeaseS), model.Seconds(w.ReportS), model.Seconds(w.CancelS))
+	slog.Info("start", "node", set.NodeName, "session_s", spans.TTL.Seconds())
+
+	g, ctx := errgroup.WithContext(ctx)
+	mail := make(chan any, 4096)
+	st := state.NewClient(set.Services.State)
+	io := &inputOutput{mail: mail, clock: clock, state: st, cloud: cloud.NewClient(set.Services.Cloud), ctx: ctx}
+	c := newController(set, op, spans, clock, io)
+	g.Go(func() error { return c.run(ctx, mail) })
+	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL}
+	g.Go(func() error { return ses.run(ctx) })
+	g.Go(func() error { return tick(ctx, mail) })
+	srv := &fasthttp.Server{Handler: handler(mail), Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
+		ReadBufferSize: 4096, IdleTimeout: 2 * time.Minute, ReadTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second,
+		Logger: quiet{}, NoDefaultContentType: true, DisablePreParseMultipartForm: true}
+	if n := set.Params.Quota.FDLimit; n > 0 {
+		srv.Concurrency = max(64, n*4/5)
+	}
+	g.Go(func() error { return srv.Serve(ln) })
+	g.Go(func() error { <-ctx.Done(); return srv.Shutdown() })
+	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+// quiet drops the HTTP server's own complaints about broken connections.
+type quiet struct{}
+
+func (quiet) Printf(string, ...any) {}
+
+func tick(ctx context.Context, mail chan<- any) error {
+	t := time.NewTicker(50 * time.Millisecond)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			select {
+			case mail <- msgTick{}:
+			default: // the actor is behind; it has work enough
+			}
+		}
+	}
+}
+
+// How long a request may wait for the controller actor.
+const (
+	patienceUser   = 4500 * time.Millisecond
+	patiencePoll   = 1800 * time.Millisecond
+	patienceWorker = 3500 * time.Millisecond
+	patienceUp     = 900 * time.Millisecond
+)
+
+// handler turns requests into messages and answers into responses.
+func handler(mail chan<- any) fasthttp.RequestHandler {
+	return func(rc *fasthttp.RequestCtx) {
+		method, path := string(rc.Method()), string(rc.Path())
+		rc.SetContentType("application/json")
+		if path == "/checkin" && method == "POST" {
+			checkin(rc, mail)
+			return
+		}
+		route, ref := userapi.Parse(method, path)
+		switch route {
+		case userapi.Up:
+			reply := make(chan bool, 1)
+			if ok, got := ask(mail, msgUp{reply}, reply, patienceUp); !got || !ok {
+				answer(rc, userapi.Error(503, "not ready", 1))
+				return
+			}
+			answer(rc, userapi.Answer{Code: 200, Body: []byte("{}")})
+		case userapi.Submit:
+			sub, ref, err := model.ParseSubmission(rc.PostBody())
+			if err != nil && ref == "" {
+				answer(rc, userapi.Error(400, err.Error(), 0))
+				return
+			}
+			reply := make(chan userapi.Answer, 1)
+			askUser(rc, mail, msgSubmit{ref, sub, err, reply}, reply, patienceUser)
+		case userapi.Poll:
+			if !model.ValidRef(ref) {
+				answer(rc, userapi.Error(404, "no such job", 0))
+				return
+			}
+			reply := make(chan userapi.Answer, 1)
+			askUser(rc, mail, msgPoll{ref, reply}, reply, patiencePoll)
+		case userapi.Withdraw:
+			if !model.ValidRef(ref) {
+				answer(rc, userapi.Error(404, "no such job", 0))
+				return
+			}
+			reply := make(chan userapi.Answer, 1)
+			askUser(rc, mail, msgWithdraw{ref, reply}, reply, patienceUser)
+		default:
+			answer(rc, userapi.Error(404, "no such page", 0))
+		}
+	}
+}
+
+func checkin(rc *fasthttp.RequestCtx, mail chan<- any) {
+	r, err := workerapi.ParseReport(rc.PostBody())
+	if err != nil {
+		answer(rc, userapi.Error(400, err.Error(), 0))
+		return
+	}
+	reply := make(chan workerAnswer, 1)
+	a, got := ask(mail, msgCheckin{r, reply}, reply, patienceWorker)
+	if !got {
+		answer(rc, userapi.Error(503, "busy", 1))
+		return
+	}
+	rc.SetStatusCode(a.code)
+	rc.Response.SetBodyRaw(a.body)
+}
+
+// ask sends a message and waits for its answer. When the actor's mailbox is
+// full, the request is refused at once.
+func ask[T any](mail chan<- any, msg any, reply <-chan T, patience time.Duration) (answer T, got bool) {
+	select {
+	case mail <- msg:
+	default:
+		return answer, false
+	}
+	t := time.NewTimer(patience)
+	defer t.Stop()
+	select {
+	case answer = <-reply:
+		return answer, true
+	case <-t.C:
+		return answer, false
+	}
+}
+
+func askUser(rc *fasthttp.RequestCtx, mail chan<- any, msg any, reply <-chan userapi.Answer, patience time.Duration) {
+	a, got := ask(mail, msg, reply, patience)
+	if !got {
+		a = userapi.Error(503, "try again", 1)
+	}
+	answer(rc, a)
+}
+
+func answer(rc *fasthttp.RequestCtx, a userapi.Answer) {
+	rc.SetStatusCode(a.Code)
+	if a.RetryAfter > 0 {
+		rc.Response.Header.Set("Retry-After", strconv.Itoa(a.RetryAfter))
+	}
+	rc.Response.SetBodyRaw(a.Body)
+}
+
+// logEvent writes a decision of the core.
+func logEvent(e block.Event) {
+	if !slog.Default().Enabled(context.Background(), slog.LevelInfo) {
+		return
+	}
+	args := make([]any, 0, 8)
+	if e.Host != "" {
+		args = append(args, "host", e.Host)
+	}
+	if e.Piece != "" {
+		args = append(args, "piece", e.Piece, "try", e.Try)
+	}
+	if e.Why != "" {
+		args = append(args, "why", e.Why)
+	}
+	slog.Info(e.What, args...)
+}
--- /dev/null
+++ b/internal/state/client.go
@@ -0,0 +1,245 @@
+// Package state speaks to the state service: requests, a budget of writes, and
+// the view of the keys that every controller keeps.
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"woadweir/internal/core/model"
+)
+
+// Errors of the state service.
+var (
+	ErrBusy    = errors.New("state service: too many requests") // 429: not executed
+	ErrRefused = errors.New("state service: refused")           // 503: not executed
+	ErrLost    = errors.New("state service: no response")       // may have been, or may yet be executed
+	ErrTooOld  = errors.New("state service: revision too old")  // 410
+	ErrNoLease = errors.New("state service: no such lease")
+	ErrMissing = errors.New("state service: not found")
+)
+
+// Guard is a condition of a transaction.
+type Guard struct {
+	Path  string `json:"path"`
+	Stamp uint64 `json:"stamp"`
+}
+
+// Op is a change of a transaction.
+type Op struct {
+	Set     string `json:"set,omitempty"`
+	Value   any    `json:"value,omitempty"`
+	Tenancy uint64 `json:"tenancy,omitempty"`
+	Drop    string `json:"drop,omitempty"`
+}
+
+// Txn is a transaction.
+type Txn struct {
+	Guards []Guard `json:"guards"`
+	Then   []Op    `json:"then,omitempty"`
+}
+
+// Result of a transaction.
+type Result struct {
+	Epoch  uint64   `json:"epoch"`
+	Failed []string `json:"failed"`
+	OK     bool     `json:"-"`
+}
+
+// Entry is a key with its value.
+type Entry struct {
+	Path    string          `json:"path"`
+	Value   json.RawMessage `json:"value"`
+	Stamp   uint64          `json:"stamp"`
+	Tenancy uint64          `json:"tenancy"`
+}
+
+// Event is a change seen by a watch.
+type Event struct {
+	Set   string          `json:"set"`
+	Drop  string          `json:"drop"`
+	Value json.RawMessage `json:"value"`
+	Stamp uint64          `json:"stamp"`
+}
+
+// Changes is a watch's answer.
+type Changes struct {
+	Epoch  uint64  `json:"epoch"`
+	Events []Event `json:"events"`
+}
+
+// Client speaks to the state service.
+type Client struct {
+	addr string
+	hc   *fasthttp.HostClient
+}
+
+// NewClient makes a client for the address.
+func NewClient(addr string) *Client {
+	return &Client{addr: addr, hc: &fasthttp.HostClient{Addr: addr, MaxConns: 16, MaxIdleConnDuration: time.Minute,
+		MaxIdemponentCallAttempts: 1, RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxResponseBodySize: 64 << 20, NoDefaultUserAgentHeader: true}}
+}
+
+func (c *Client) do(method, uri string, in, out any, timeout model.Micros) (int, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.Header.SetMethod(method)
+	req.SetRequestURI("http://" + c.addr + uri)
+	if in != nil {
+		body, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		req.SetBodyRaw(body)
+		req.Header.SetContentType("application/json")
+	}
+	if err := c.hc.DoTimeout(req, resp, timeout.Duration()); err != nil {
+		return 0, fmt.Errorf("%w: %v", ErrLost, err)
+	}
+	code := resp.StatusCode()
+	switch code {
+	case 429:
+		return code, ErrBusy
+	case 503:
+		return code, ErrRefused
+	}
+	if out != nil && (code == 200 || code == 409) {
+		if err := json.Unmarshal(resp.Body(), out); err != nil {
+			return code, fmt.Errorf("%w: %v", ErrLost, err)
+		}
+	}
+	return code, nil
+}
+
+func unexpected(code int) error { return fmt.Errorf("state service: unexpected status %d", code) }
+
+// Get reads a key.
+func (c *Client) Get(key string, timeout model.Micros) (*Entry, error) {
+	var e Entry
+	code, err := c.do("GET", "/keys/"+key, nil, &e, timeout)
+	switch {
+	case err != nil:
+		return nil, err
+	case code == 404:
+		return nil, ErrMissing
+	case code != 200:
+		return nil, unexpected(code)
+	}
+	return &e, nil
+}
+
+// List reads all keys, page by page. The epoch is that of the first page:
+// watching from there misses nothing, and applying a change twice is harmless.
+func (c *Client) List(timeout model.Micros, each func(Entry)) (epoch uint64, err error) {
+	from := ""
+	for page := 0; ; page++ {
+		var out struct {
+			Entries []Entry `json:"entries"`
+			HasNext bool    `json:"hasNext"`
+			Epoch   uint64  `json:"epoch"`
+		}
+		uri := "/keys?starts=&most=1000"
+		if from != "" {
+			uri += "&from=" + url.QueryEscape(from)
+		}
+		code, err := c.do("GET", uri, nil, &out, timeout)
+		if err != nil {
+			return 0, err
+		}
+		if code != 200 {
+			return 0, unexpected(code)
+		}
+		if page == 0 {
+			epoch = out.Epoch
+		}
+		for _, e := range out.Entries {
+			each(e)
+			from = e.Path
+		}
+		if !out.HasNext || len(out.Entries) == 0 {
+			return epoch, nil
+		}
+	}
+}
+
+// Watch returns all changes after the revision, without waiting.
+func (c *Client) Watch(from uint64, timeout model.Micros) (*Changes, error) {
+	var ch Changes
+	code, err := c.do("GET", "/watch?starts=&from="+strconv.FormatUint(from, 10)+"&blockMs=0", nil, &ch, timeout)
+	switch {
+	case err != nil:
+		return nil, err
+	case code == 410:
+		return nil, ErrTooOld
+	case code != 200:
+		return nil, unexpected(code)
+	}
+	return &ch, nil
+}
+
+// Commit carries out a transaction.
+func (c *Client) Commit(t *Txn, timeout model.Micros) (*Result, error) {
+	var r Result
+	code, err := c.do("POST", "/commit", t, &r, timeout)
+	switch {
+	case err != nil:
+		return nil, err
+	case code == 200:
+		r.OK = true
+		return &r, nil
+	case code == 409:
+		return &r, nil
+	case code == 400:
+		return nil, ErrNoLease
+	}
+	return nil, unexpected(code)
+}
+
+// Grant opens a lease.
+func (c *Client) Grant(ttl, timeout model.Micros) (uint64, error) {
+	var out struct {
+		Tenancy uint64 `json:"tenancy"`
+	}
+	code, err := c.do("POST", "/grants", map[string]int64{"ttlMs": int64(ttl / model.Millisecond)}, &out, timeout)
+	if err != nil {
+		return 0, err
+	}
+	if code != 200 {
+		return 0, unexpected(code)
+	}
+	return out.Tenancy, nil
+}
+
+// Touch renews a lease; ErrMissing tells that it is over.
+func (c *Client) Touch(id uint64, timeout model.Micros) error {
+	code, err := c.do("POST", "/grants/"+strconv.FormatUint(id, 10)+"/touch", nil, nil, timeout)
+	switch {
+	case err != nil:
+		return err
+	case code == 404:
+		return ErrMissing
+	case code != 200:
+		return unexpected(code)
+	}
+	return nil
+}
+
+// End ends a lease at once.
+func (c *Client) End(id uint64, timeout model.Micros) error {
+	code, err := c.do("DELETE", "/grants/"+strconv.FormatUint(id, 10), nil, nil, timeout)
+	if err != nil {
+		return err
+	}
+	if code != 200 && code != 204 && code != 404 {
+		return unexpected(code)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/workerapi/workerapi.go
@@ -0,0 +1,96 @@
+// Package workerapi translates between the workers' messages and the core.
+package workerapi
+
+import (
+	"encoding/json"
+	"errors"
+
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/model"
+)
+
+type wireReport struct {
+	Host    string      `json:"host"`
+	Address string      `json:"address"`
+	Build   string      `json:"build"`
+	Yard    string      `json:"yard"`
+	Loaners bool        `json:"loaners"`
+	Tenure  uint64      `json:"tenure"`
+	Tally   uint64      `json:"tally"`
+	Warrant uint64      `json:"warrant"`
+	RecallS *float64    `json:"recallS"`
+	Pieces  []wirePiece `json:"pieces"`
+}
+
+type wirePiece struct {
+	Piece  string `json:"piece"`
+	Try    uint64 `json:"try"`
+	Status string `json:"status"`
+	Cause  string `json:"cause"`
+	Stored bool   `json:"stored"`
+}
+
+// ParseReport reads a check-in.
+func ParseReport(body []byte) (*block.Report, error) {
+	var w wireReport
+	if err := json.Unmarshal(body, &w); err != nil {
+		return nil, err
+	}
+	if w.Host == "" || w.Tenure == 0 {
+		return nil, errors.New("host or tenure is missing")
+	}
+	r := &block.Report{Host: w.Host, Addr: w.Address, Build: w.Build, Yard: w.Yard, Spot: w.Loaners,
+		Tenure: w.Tenure, Tally: w.Tally, Warrant: w.Warrant, Pieces: make([]block.Piece, 0, len(w.Pieces))}
+	if w.RecallS != nil {
+		r.Recall, r.RecallIn = true, model.Seconds(*w.RecallS)
+	}
+	for i := range w.Pieces {
+		p := &w.Pieces[i]
+		id, ok := model.ParsePiece(p.Piece)
+		if !ok {
+			continue
+		}
+		r.Pieces = append(r.Pieces, block.Piece{ID: id, Try: p.Try, Status: model.StatusOf(p.Status), Cause: p.Cause, Stored: p.Stored})
+	}
+	return r, nil
+}
+
+type wireOrder struct {
+	Verb    string   `json:"verb"`
+	Piece   string   `json:"piece"`
+	Try     uint64   `json:"try"`
+	LeewayS *float64 `json:"leewayS,omitempty"`
+}
+
+// Answer renders a response with commands.
+func Answer(token uint64, orders []block.Order) []byte {
+	out := struct {
+		Warrant uint64      `json:"warrant"`
+		Orders  []wireOrder `json:"orders"`
+	}{token, make([]wireOrder, 0, len(orders))}
+	for _, o := range orders {
+		w := wireOrder{Verb: o.Verb, Piece: o.Piece.String(), Try: o.Try}
+		if o.Verb == "stop" {
+			s := o.Leeway.Seconds()
+			w.LeewayS = &s
+		}
+		out.Orders = append(out.Orders, w)
+	}
+	b, err := json.Marshal(out)
+	if err != nil {
+		panic(err) // plain structs always marshal
+	}
+	return b
+}
+
+// Elsewhere renders the body of a 421.
+func Elsewhere(steward string) []byte {
+	if steward == "" {
+		return []byte("{}")
+	}
+	b, err := json.Marshal(map[string]string{"steward": steward})
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
