--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -63,11 +63,8 @@
 func (n Need) Count(room Need, limit int) int {
 	k := Milli(limit)
 	for _, p := range [...][2]Milli{{n.Cores, room.Cores}, {n.GPUs, room.GPUs}, {n.Mem, room.Mem}} {
-		if p[1] < 0 {
-			return 0
-		}
 		if p[0] > 0 {
-			k = min(k, p[1]/p[0])
+			k = min(k, max(0, p[1])/p[0])
 		}
 	}
 	return int(k)
