--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -13,7 +13,6 @@
 	"woadweir/internal/core/block"
 	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
-	"woadweir/internal/core/slack"
 	"woadweir/internal/state"
 	"woadweir/internal/userapi"
 	"woadweir/internal/workerapi"
@@ -588,5 +587,3 @@
 	}
 	c.leading.checkin(m)
 }
-
-var _ = slack.Defaults
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -7,7 +7,6 @@
 	"woadweir/internal/cloud"
 	"woadweir/internal/core/block"
 	"woadweir/internal/core/model"
-	"woadweir/internal/core/slack"
 	"woadweir/internal/state"
 )
 
@@ -102,12 +101,14 @@
 	go func() { io.send(msgDeleted{refs, io.cloud.Delete(refs, cloudPatience), term}) }()
 }
 
-// guards of a holder's transaction.
-func holderTxn(ws []block.Write, stamps map[string]uint64, grant state.Guard, lane func(block.Write) bool) *state.Txn {
+// holderTxn makes a holder's transaction: it is guarded by the grant, and every
+// key by the version of it that we know, so that a copy that is carried out
+// late changes nothing.
+func holderTxn(ws []block.Write, stamps map[string]uint64, grant state.Guard) *state.Txn {
 	t := &state.Txn{Guards: []state.Guard{grant}}
 	for _, w := range ws {
-		if !lane(w) {
-			continue
+		if w.Value == nil && stamps[w.Key] == 0 {
+			continue // nothing to drop
 		}
 		g := state.Guard{Path: w.Key, Stamp: stamps[w.Key]}
 		if w.Create {
@@ -122,5 +123,3 @@
 	}
 	return t
 }
-
-var _ = slack.Offer{}
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -173,8 +173,7 @@
 	if len(ws) == 0 {
 		return
 	}
-	t := holderTxn(ws, c.view.Stamps, state.Guard{Path: "grant/" + theBlock, Stamp: l.token},
-		func(w block.Write) bool { return w.Value != nil || c.view.Stamps[w.Key] != 0 })
+	t := holderTxn(ws, c.view.Stamps, state.Guard{Path: "grant/" + theBlock, Stamp: l.token})
 	if len(t.Then) == 0 {
 		l.h.Committed(ws, c.now)
 		return
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -7,11 +7,13 @@
 	"log/slog"
 	"time"
 
+	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
 	"woadweir/internal/state"
 )
 
-// session is the actor that keeps this process's lease in the state service.
+// session is the actor that makes the requests which keep this process's lease
+// in the state service.
 type session struct {
 	state *state.Client
 	clock Clock
@@ -22,6 +24,9 @@
 }
 
 func pause(ctx context.Context, d model.Micros) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d.Duration())
 	defer t.Stop()
 	select {
@@ -32,99 +37,67 @@
 	}
 }
 
-const sessionRetry = 250 * model.Millisecond
-
-// run ends the lease of the former process of this node, then keeps one of its
-// own, and replaces it when it is over.
 func (s *session) run(ctx context.Context) error {
-	for ctx.Err() == nil {
-		id, sent, err := s.open()
+	core := lead.NewSession(s.ttl)
+	for {
+		call := core.Next()
+		if !pause(ctx, call.After) {
+			return nil
+		}
+		core.Sending(s.clock())
+		reply, err := s.make(call)
 		if err != nil {
 			slog.Debug("session", "err", err)
-			if !pause(ctx, sessionRetry) {
-				return nil
-			}
+		}
+		news := core.Take(reply)
+		if !news.Any {
 			continue
 		}
-		slog.Info("session", "id", id)
-		if !s.tell(ctx, msgSession{id, sent}) || !s.keep(ctx, id) {
-			return nil
+		if call.Kind != lead.CallTouch || news.ID == 0 {
+			slog.Info("session", "id", news.ID)
 		}
-		slog.Info("session over", "id", id)
-		if !s.tell(ctx, msgSession{}) {
+		select {
+		case s.mail <- msgSession{news.ID, news.Sent}:
+		case <-ctx.Done():
 			return nil
 		}
 	}
-	return nil
 }
 
-func (s *session) tell(ctx context.Context, m msgSession) bool {
-	select {
-	case s.mail <- m:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-// open obtains a new lease and puts the node's key under it.
-func (s *session) open() (id uint64, sent model.Micros, err error) {
+// make carries a request of the session out.
+func (s *session) make(call lead.Call) (r lead.Reply, err error) {
+	patience := min(s.ttl/5, 2*model.Second)
 	key := "node/" + s.name
-	stamp := uint64(0)
-	old, err := s.state.Get(key, 2*model.Second)
-	switch {
-	case err == nil:
-		// Only this node writes the key, so the lease in it is that of a process
-		// that is no more.
-		var rec state.NodeRecord
-		if json.Unmarshal(old.Value, &rec) == nil && rec.Session != 0 {
-			if err := s.state.End(rec.Session, 2*model.Second); err != nil {
-				return 0, 0, err
+	switch call.Kind {
+	case lead.CallRead:
+		var e *state.Entry
+		if e, err = s.state.Get(key, patience); err == nil {
+			var rec state.NodeRecord
+			if err := json.Unmarshal(e.Value, &rec); err != nil {
+				slog.Error("node key is not readable", "err", err)
 			}
-			slog.Info("ended the former session", "id", rec.Session)
+			r.ID, r.Stamp = rec.Session, e.Stamp
 		}
-		if e, err := s.state.Get(key, 2*model.Second); err == nil {
-			stamp = e.Stamp
-		} else if !errors.Is(err, state.ErrMissing) {
-			return 0, 0, err
+	case lead.CallEnd:
+		err = s.state.End(call.ID, patience)
+	case lead.CallGrant:
+		r.ID, err = s.state.Grant(s.ttl, patience)
+	case lead.CallPut:
+		var res *state.Result
+		res, err = s.state.Commit(&state.Txn{Guards: []state.Guard{{Path: key, Stamp: call.Stamp}},
+			Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID, Serve: s.serve}, Tenancy: call.ID}}}, patience)
+		if err == nil && !res.OK {
+			r.Outcome = lead.Conflict
 		}
-	case !errors.Is(err, state.ErrMissing):
-		return 0, 0, err
-	}
-	sent = s.clock()
-	id, err = s.state.Grant(s.ttl, 2*model.Second)
-	if err != nil {
-		return 0, 0, err
-	}
-	res, err := s.state.Commit(&state.Txn{Guards: []state.Guard{{Path: key, Stamp: stamp}},
-		Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: id, Serve: s.serve}, Tenancy: id}}}, 2*model.Second)
-	if err != nil {
-		return 0, 0, err
-	}
-	if !res.OK {
-		return 0, 0, errors.New("node key was changed meanwhile")
+	case lead.CallTouch:
+		err = s.state.Touch(call.ID, patience)
 	}
-	return id, sent, nil
-}
-
-// keep touches the lease until it is over (true) or the process ends (false).
-func (s *session) keep(ctx context.Context, id uint64) bool {
-	wait := s.ttl / 6
-	for pause(ctx, wait) {
-		sent := s.clock()
-		err := s.state.Touch(id, min(s.ttl/5, 2*model.Second))
-		switch {
-		case err == nil:
-			wait = s.ttl / 6
-			if !s.tell(ctx, msgSession{id, sent}) {
-				return false
-			}
-		case errors.Is(err, state.ErrMissing):
-			return true
-		default:
-			slog.Debug("touch", "err", err)
-			wait = sessionRetry
-		}
+	switch {
+	case err == nil:
+	case errors.Is(err, state.ErrMissing):
+		r.Outcome = lead.Missing
+	default:
+		r.Outcome = lead.Unclear
 	}
-	return false
+	return r, err
 }
