Stand-ins, simulated time and a property test of random failures

Found by it: an election that was carried out but whose answer was lost left the leader's key with a node that did not know that it led, for ever. A node that finds the key under its own session now rewrites the grant and leads.

--- /dev/null
+++ b/internal/node/chaos_test.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"woadweir/internal/core/model"
+)
+
+// A quiet world runs everything, and gives machines back afterwards.
+func TestQuietWorld(t *testing.T) {
+	w := newWorld(t, 1)
+	var us []*user
+	for i := range 6 {
+		us = append(us, w.submit(sweepJob(i, 8, 10), 0))
+	}
+	for i := 10; i < 14; i++ {
+		us = append(us, w.submit(gangJob(i, 1+i%3, 12), 0))
+	}
+	w.Run(150 * model.Second)
+	w.check()
+	for _, u := range us {
+		if u.ended != "done" {
+			t.Errorf("%s: %q; %s", u.sub.Ref, u.ended, w.cloud.Describe())
+		}
+	}
+	w.Run(300 * model.Second)
+	if n := w.cloud.Rented(); n > 3 {
+		t.Errorf("%d machines are still rented", n)
+	}
+}
+
+// Random failures, singly and together, break no rule; and once they are over,
+// every accepted job comes to its end.
+func TestRandomFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(t, rapid.Uint64().Draw(rt, "seed"))
+		const calm = 150 * model.Second
+		var us []*user
+		for i := range rapid.IntRange(5, 14).Draw(rt, "jobs") {
+			at := w.Between(0, 100*model.Second)
+			cancel := model.Micros(0)
+			if w.Chance(0.3) {
+				cancel = w.Between(model.Second, 40*model.Second)
+			}
+			w.At(at, func() {
+				s := sweepJob(i, 1+w.Rng.IntN(12), float64(2+w.Rng.IntN(25)))
+				switch w.Rng.IntN(5) {
+				case 0:
+					s = gangJob(i, 1+w.Rng.IntN(4), float64(2+w.Rng.IntN(25)))
+				case 1:
+					s.SamePlace = true
+				case 2:
+					s.Apart, s.Loaners = true, false
+				case 3:
+					s.GPUs, s.Rank = 1, "idle"
+				}
+				us = append(us, w.submit(s, cancel))
+			})
+		}
+		for range rapid.IntRange(1, 10).Draw(rt, "faults") {
+			kind := rapid.IntRange(0, 9).Draw(rt, "kind")
+			at := w.Between(5*model.Second, calm-30*model.Second)
+			long := w.Between(model.Second, 30*model.Second)
+			w.At(at, func() { fault(w, kind, long) })
+		}
+		w.At(calm, func() {
+			for _, n := range w.nodes {
+				n.setCut(open)
+				n.workers = true
+			}
+		})
+		w.Run(500 * model.Second)
+		if len(w.rules.Broken) > 0 {
+			rt.Fatalf("rules broken: %v", w.rules.Broken)
+		}
+		for _, u := range us {
+			if u.accepted && u.ended == "" {
+				rt.Fatalf("%s (%+v) never ended; %s", u.sub.Ref, u.sub, w.describe())
+			}
+		}
+		if w.rules.Starts == 0 {
+			rt.Fatal("nothing ran")
+		}
+	})
+}
+
+func fault(w *world, kind int, long model.Micros) {
+	n := w.nodes[w.Rng.IntN(len(w.nodes))]
+	if l := w.leader(); l != nil && w.Chance(0.7) {
+		n = l
+	}
+	restart := func(n *simNode) {
+		if !n.alive {
+			return
+		}
+		n.crash()
+		d := w.Between(100*model.Millisecond, 6*model.Second)
+		if w.Chance(0.3) {
+			d = w.Between(0, 300*model.Millisecond)
+		}
+		w.After(d, n.start)
+	}
+	ws := w.cloud.Workers()
+	switch kind {
+	case 0:
+		restart(n)
+	case 1:
+		for _, n := range w.nodes {
+			restart(n)
+		}
+	case 2, 3, 4:
+		n.setCut(kind - 1)
+		w.After(long, func() { n.setCut(open) })
+	case 5:
+		w.state.SetOutage(true)
+		w.After(long, func() { w.state.SetOutage(false) })
+	case 6:
+		n.workers = false
+		w.After(long, func() { n.workers = true })
+	case 7:
+		w.cloud.Down = true
+		w.After(long, func() { w.cloud.Down = false })
+	case 8:
+		for _, x := range ws {
+			if w.Chance(0.4) {
+				x.Hang(true)
+				w.After(long, func() { x.Hang(false) })
+			}
+		}
+	case 9:
+		for _, x := range ws {
+			switch {
+			case x.Spot && w.Chance(0.7):
+				x.Recall(w.Between(0, 15*model.Second))
+			case w.Chance(0.2):
+				x.Die()
+			case w.Chance(0.2):
+				x.Sick = true
+			}
+		}
+	}
+}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -165,18 +165,24 @@
 	c.auth.Touched(m.sent)
 }
 
-// elect tries for the leader's key when nobody has it.
+// elect tries for the leader's key when nobody has it. When an earlier try was
+// carried out but its answer was lost, the key is there under our own session:
+// then only the grant is written, anew, as for any takeover.
 func (c *controller) elect() {
-	if c.view.Leader != nil || c.leading != nil || c.session == 0 || c.busy[laneElect] || c.now < c.pauses[laneElect] || !c.auth.Holds(c.now) {
+	if c.leading != nil || c.session == 0 || c.busy[laneElect] || c.now < c.pauses[laneElect] || !c.auth.Holds(c.now) {
+		return
+	}
+	ours := c.view.Leader != nil && c.view.Leader.Session == c.session
+	if c.view.Leader != nil && !ours {
 		return
 	}
 	grant := "grant/" + theBlock
 	t := &state.Txn{
-		Guards: []state.Guard{{Path: "leader", Stamp: 0}, {Path: grant, Stamp: c.view.Stamps[grant]}},
-		Then: []state.Op{
-			{Set: "leader", Value: state.LeaderRecord{Node: c.set.NodeName, Session: c.session}, Tenancy: c.session},
-			{Set: grant, Value: state.GrantRecord{Holder: c.set.NodeName, Session: c.session, Credit: c.credit()}},
-		}}
+		Guards: []state.Guard{{Path: "leader", Stamp: c.view.Stamps["leader"]}, {Path: grant, Stamp: c.view.Stamps[grant]}},
+		Then:   []state.Op{{Set: grant, Value: state.GrantRecord{Holder: c.set.NodeName, Session: c.session, Credit: c.credit()}}}}
+	if !ours {
+		t.Then = append(t.Then, state.Op{Set: "leader", Value: state.LeaderRecord{Node: c.set.NodeName, Session: c.session}, Tenancy: c.session})
+	}
 	c.send(laneElect, msgCommitted{txn: t, token: c.session})
 }
 
--- /dev/null
+++ b/internal/node/sim_test.go
@@ -0,0 +1,482 @@
+package node
+
+import (
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"slices"
+	"testing"
+
+	"woadweir/internal/cloud"
+	"woadweir/internal/config"
+	"woadweir/internal/core/lead"
+	"woadweir/internal/core/model"
+	"woadweir/internal/standin"
+	"woadweir/internal/state"
+	"woadweir/internal/userapi"
+	"woadweir/internal/workerapi"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	if !testing.Verbose() {
+		slog.SetDefault(slog.New(slog.DiscardHandler))
+	}
+	os.Exit(m.Run())
+}
+
+// How a node's way to the state service can be cut.
+const (
+	open    = iota
+	dropped // requests vanish
+	holding // requests wait, and are carried out when the cut ends
+	refused // the service answers 503 to this node alone
+)
+
+// simNode is a controller in simulated time: the real actor, with scripted
+// peers in the place of sockets.
+type simNode struct {
+	w       *world
+	name    string
+	set     *config.Settings
+	alive   bool
+	life    int
+	ctl     *controller
+	ses     *lead.Session
+	cut     int
+	late    []func() // held requests
+	workers bool     // workers reach it
+	pending []func() bool
+}
+
+// world is a deployment in simulated time.
+type world struct {
+	*standin.Sim
+	t     *testing.T
+	state *standin.State
+	cloud *standin.Cloud
+	rules *standin.Rules
+	nodes []*simNode
+}
+
+var simFlavors = []model.Flavor{
+	{Label: "small", Cores: 8, MemoryGB: 32, CacheGB: 20, FetchGBps: 1, Price: 1, LowPrice: 0.3, BootS: 5, Yards: []string{"a", "b"}},
+	{Label: "gpu", Cores: 16, GPUs: 4, MemoryGB: 64, CacheGB: 20, FetchGBps: 1, Price: 8, LowPrice: 2, BootS: 6, Yards: []string{"a", "b"}},
+}
+
+func simSettings(name string) *config.Settings {
+	s := &config.Settings{NodeName: name, ServeOn: "10.0.0.1:8080"}
+	s.Params.Teams = []config.Team{{Name: "red", CPUs: 20, CPUsMax: 40, GPUs: 4, GPUsMax: 8}, {Name: "blue", CPUs: 20, CPUsMax: 30, GPUs: 0, GPUsMax: 4}}
+	p := &s.Params
+	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.GangWaitS, p.Workers.GangPeerS, p.Workers.CancelS = 2.5, 18, 30, 5, 38
+	p.State.RPS, p.State.WriteRPS, p.State.ValueKB, p.State.TxnOps = 100, 25, 32, 16
+	p.Cloud.RPS, p.Cloud.ListLagS = 8, 3
+	return s
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{Sim: standin.NewSim(seed), t: t}
+	w.state = standin.NewState(w.Sim)
+	set := simSettings("")
+	w.rules = standin.NewRules(w.Sim, set.Teams(), model.Seconds(set.Params.Workers.CancelS))
+	ps := set.Params.Workers
+	w.cloud = standin.NewCloud(w.Sim, w, w.rules, simFlavors, standin.Times{Report: model.Seconds(ps.ReportS), Lease: model.Seconds(ps.LeaseS),
+		GangWait: model.Seconds(ps.GangWaitS), GangPeer: model.Seconds(ps.GangPeerS)})
+	for _, y := range []string{"a", "b"} {
+		for _, spot := range []bool{true, false} {
+			w.cloud.Capacity[fmt.Sprintf("small/%s/%v", y, spot)] = 4
+			w.cloud.Capacity[fmt.Sprintf("gpu/%s/%v", y, spot)] = 2
+		}
+	}
+	for i := range 3 {
+		n := &simNode{w: w, name: fmt.Sprintf("node-%d", i), workers: true}
+		n.set = simSettings(n.name)
+		w.nodes = append(w.nodes, n)
+		n.start()
+	}
+	return w
+}
+
+// Nodes and Checkin make the world a network for workers.
+func (w *world) Nodes() []string {
+	var ns []string
+	for _, n := range w.nodes {
+		ns = append(ns, n.name)
+	}
+	return ns
+}
+
+func (w *world) Checkin(_ *standin.Worker, node string, body []byte, answer func(int, []byte)) {
+	n := w.nodes[slices.Index(w.Nodes(), node)]
+	w.After(w.Between(200, 2000), func() {
+		if !n.alive || !n.workers {
+			return
+		}
+		r, err := workerapi.ParseReport(body)
+		if err != nil {
+			panic(err)
+		}
+		reply := make(chan workerAnswer, 1)
+		n.ask(msgCheckin{r, reply}, func() bool {
+			select {
+			case a := <-reply:
+				back := w.Between(200, 2000)
+				if w.Chance(0.01) {
+					back = 5 * model.Second // too late for the worker
+				}
+				w.After(back, func() { answer(a.code, a.body) })
+				return true
+			default:
+				return false
+			}
+		})
+	})
+}
+
+func (n *simNode) start() {
+	n.alive, n.life, n.pending = true, n.life+1, nil
+	spans := lead.Settle(30*model.Second, model.Seconds(n.set.Params.Workers.LeaseS), model.Seconds(n.set.Params.Workers.ReportS), model.Seconds(n.set.Params.Workers.CancelS))
+	base := n.w.Now
+	clock := func() model.Micros { return n.w.Now - base + 1 }
+	n.ctl = newController(n.set, config.DefaultOperator(), spans, clock, n)
+	n.ctl.wall = func() int64 { return int64(n.w.Now / 1000) }
+	n.ses = lead.NewSession(spans.TTL)
+	n.tick(n.life)
+	n.session(n.life)
+}
+
+func (n *simNode) crash() {
+	n.alive, n.pending = false, nil
+}
+
+func (n *simNode) tick(life int) {
+	if !n.alive || n.life != life {
+		return
+	}
+	n.ask(msgTick{}, nil)
+	n.w.After(50*model.Millisecond, func() { n.tick(life) })
+}
+
+// ask hands a message to the actor; check is called until it says that the
+// answer has come.
+func (n *simNode) ask(m any, check func() bool) {
+	if !n.alive {
+		return
+	}
+	if check != nil {
+		n.pending = append(n.pending, check)
+	}
+	n.ctl.take(m)
+	n.ctl.step()
+	n.pending = slices.DeleteFunc(n.pending, func(f func() bool) bool { return f() })
+}
+
+func (n *simNode) session(life int) {
+	call := n.ses.Next()
+	n.w.After(call.After+1, func() {
+		if !n.alive || n.life != life {
+			return
+		}
+		n.ses.Sending(n.ctl.clock())
+		var r lead.Reply
+		key := "node/" + n.name
+		n.request(func() func() {
+			err := error(nil)
+			switch call.Kind {
+			case lead.CallRead:
+				var e *state.Entry
+				if e, err = n.w.state.Get(n.name, key); err == nil {
+					r.Stamp, r.ID = e.Stamp, e.Tenancy
+				}
+			case lead.CallEnd:
+				err = n.w.state.End(n.name, call.ID)
+			case lead.CallGrant:
+				r.ID, err = n.w.state.Grant(n.name, n.ctl.auth.Spans.TTL)
+			case lead.CallPut:
+				var res *state.Result
+				res, err = n.w.state.Commit(n.name, &state.Txn{Guards: []state.Guard{{Path: key, Stamp: call.Stamp}},
+					Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID}, Tenancy: call.ID}}})
+				if err == nil && !res.OK {
+					r.Outcome = lead.Conflict
+				}
+			case lead.CallTouch:
+				err = n.w.state.Touch(n.name, call.ID)
+			}
+			if err == state.ErrMissing {
+				r.Outcome = lead.Missing
+			} else if err != nil {
+				r.Outcome = lead.Unclear
+			}
+			return func() { n.sessionReply(r, life) }
+		}, func() { n.sessionReply(lead.Reply{Outcome: lead.Unclear}, life) }, 2*model.Second)
+	})
+}
+
+func (n *simNode) sessionReply(r lead.Reply, life int) {
+	if !n.alive || n.life != life {
+		return
+	}
+	if news := n.ses.Take(r); news.Any {
+		n.ask(msgSession{news.ID, news.Sent}, nil)
+	}
+	n.session(life)
+}
+
+// request carries a request to the state service: it takes time, and may be
+// lost, refused, or held and carried out late. do carries it out and returns
+// what brings the answer; lost is called when patience is over.
+func (n *simNode) request(do func() func(), lost func(), patience model.Micros) {
+	w, answered := n.w, false
+	give := func(f func()) {
+		if !answered {
+			answered = true
+			f()
+		}
+	}
+	w.After(patience, func() { give(lost) })
+	there := w.Between(model.Millisecond, 6*model.Millisecond)
+	if w.Chance(0.01) {
+		there = w.Between(100*model.Millisecond, 3*model.Second)
+	}
+	w.After(there, func() {
+		switch n.cut {
+		case dropped:
+			return
+		case holding:
+			n.late = append(n.late, func() { do() })
+			return
+		}
+		back := do()
+		if w.Chance(0.01) {
+			return // carried out, but the answer is lost
+		}
+		w.After(w.Between(model.Millisecond, 6*model.Millisecond), func() {
+			if n.cut != dropped && n.cut != holding {
+				give(back)
+			}
+		})
+	})
+}
+
+func (n *simNode) setCut(kind int) {
+	n.cut = kind
+	n.w.state.Refused[n.name] = kind == refused
+	if kind == open {
+		for _, f := range n.late {
+			f()
+		}
+		n.late = nil
+	}
+}
+
+// The effects of the controller.
+
+func (n *simNode) sync(from uint64, list bool) {
+	life := n.life
+	m := msgSynced{sent: n.ctl.clock()}
+	n.request(func() func() {
+		if list {
+			es, epoch, err := n.w.state.List(n.name)
+			m.err = err
+			m.view = state.NewView()
+			m.view.Epoch = epoch
+			for _, e := range es {
+				m.view.Set(e.Path, e.Value, e.Stamp)
+			}
+			m.view.Recount()
+		} else {
+			m.changes, m.err = n.w.state.Watch(n.name, from)
+		}
+		return func() { n.deliver(life, m) }
+	}, func() { n.deliver(life, msgSynced{sent: m.sent, err: state.ErrLost}) }, syncPatience)
+}
+
+func (n *simNode) deliver(life int, m any) {
+	if n.life == life {
+		n.ask(m, nil)
+	}
+}
+
+func (n *simNode) commit(m msgCommitted) {
+	life := n.life
+	n.request(func() func() {
+		m.res, m.err = n.w.state.Commit(n.name, m.txn)
+		return func() { n.deliver(life, m) }
+	}, func() { m.err = state.ErrLost; n.deliver(life, m) }, commitPatience)
+}
+
+func (n *simNode) cloudCall(f func() any) {
+	life := n.life
+	n.w.After(n.w.Between(50*model.Millisecond, 200*model.Millisecond), func() {
+		m := f()
+		n.w.After(50*model.Millisecond, func() { n.deliver(life, m) })
+	})
+}
+
+func (n *simNode) flavors() {
+	n.cloudCall(func() any {
+		if n.w.cloud.Down {
+			return msgFlavors{err: cloud.ErrTrouble}
+		}
+		return msgFlavors{builds: n.w.cloud.Flavors}
+	})
+}
+
+func (n *simNode) list() {
+	sent := n.ctl.clock()
+	n.cloudCall(func() any {
+		ms, err := n.w.cloud.List()
+		return msgListed{sent, ms, err}
+	})
+}
+
+func (n *simNode) rent(m msgRented) {
+	n.cloudCall(func() any {
+		m.hosts, m.err = n.w.cloud.Rent(&m.rental)
+		return m
+	})
+}
+
+func (n *simNode) remove(refs []string, term uint64) {
+	n.cloudCall(func() any { return msgDeleted{refs, n.w.cloud.Delete(refs), term} })
+}
+
+// --- users
+
+// user submits a job with retries, polls until its end, and may cancel it.
+type user struct {
+	w        *world
+	sub      *model.Submission
+	accepted bool
+	ended    string
+	cancelAt model.Micros
+	asked    bool
+	deadline model.Micros
+}
+
+func (w *world) submit(sub *model.Submission, cancelAfter model.Micros) *user {
+	u := &user{w: w, sub: sub, deadline: w.Now + 60*model.Second}
+	w.rules.Subs[sub.Ref] = sub.Job(0)
+	if cancelAfter > 0 {
+		u.cancelAt = w.Now + cancelAfter
+	}
+	u.post()
+	return u
+}
+
+// call asks a node that is up; f gets code 0 if there is no answer.
+func (w *world) call(patience model.Micros, msg func(chan<- userapi.Answer) any, f func(userapi.Answer)) {
+	answered := false
+	give := func(a userapi.Answer) {
+		if !answered {
+			answered = true
+			f(a)
+		}
+	}
+	w.After(patience, func() { give(userapi.Answer{}) })
+	n := w.nodes[w.Rng.IntN(len(w.nodes))]
+	w.After(model.Millisecond, func() {
+		if !n.alive {
+			return
+		}
+		reply := make(chan userapi.Answer, 1)
+		n.ask(msg(reply), func() bool {
+			select {
+			case a := <-reply:
+				w.After(model.Millisecond, func() { give(a) })
+				return true
+			default:
+				return false
+			}
+		})
+	})
+}
+
+func (u *user) post() {
+	u.w.call(5*model.Second, func(r chan<- userapi.Answer) any {
+		s := *u.sub
+		return msgSubmit{s.Ref, &s, nil, r}
+	}, func(a userapi.Answer) {
+		switch a.Code {
+		case 200, 201:
+			u.accepted = true
+			u.w.rules.Tell(u.sub.Ref, a.Code, a.Body)
+			u.poll()
+		default:
+			if u.w.Now < u.deadline {
+				u.w.After(model.Second, u.post)
+			}
+		}
+	})
+}
+
+func (u *user) poll() {
+	if u.cancelAt > 0 && u.w.Now >= u.cancelAt && !u.asked {
+		u.asked = true
+		u.w.rules.Ask(u.sub.Ref)
+		u.withdraw()
+	}
+	u.w.call(2*model.Second, func(r chan<- userapi.Answer) any { return msgPoll{u.sub.Ref, r} }, func(a userapi.Answer) {
+		u.w.rules.Tell(u.sub.Ref, a.Code, a.Body)
+		if u.ended = u.w.rules.Ended(u.sub.Ref); u.ended == "" || u.w.Chance(0.5) {
+			u.w.After(3*model.Second, u.poll)
+		}
+	})
+}
+
+func (u *user) withdraw() {
+	u.w.call(5*model.Second, func(r chan<- userapi.Answer) any { return msgWithdraw{u.sub.Ref, r} }, func(a userapi.Answer) {
+		u.w.rules.Tell(u.sub.Ref, a.Code, a.Body)
+		if a.Code != 200 {
+			u.w.After(model.Second, u.withdraw)
+		}
+	})
+}
+
+func (w *world) check() {
+	w.t.Helper()
+	if len(w.rules.Broken) > 0 {
+		w.t.Fatalf("rules broken: %v", w.rules.Broken)
+	}
+}
+
+func (w *world) leader() *simNode {
+	for _, n := range w.nodes {
+		if n.alive && n.ctl.leading != nil && n.ctl.auth.Holds(n.ctl.clock()) {
+			return n
+		}
+	}
+	return nil
+}
+
+func sweepJob(i, pieces int, guess float64) *model.Submission {
+	return &model.Submission{Ref: fmt.Sprintf("j-%06d", i), Class: "c", Owner: "red", Shape: "sweep", Rank: "standard", Pieces: pieces,
+		Cores: 2, MemoryGB: 4, Bundle: "img-1", ImageGB: 1, Loaners: true, GuessS: guess}
+}
+
+func gangJob(i, pieces int, guess float64) *model.Submission {
+	s := sweepJob(i, pieces, guess)
+	s.Shape, s.Rank, s.Cores, s.Loaners, s.KeepsakeS, s.StowS, s.Owner = "gang", "urgent", 3, false, 5, 1, "blue"
+	return s
+}
+
+// describe is for failure messages.
+func (w *world) describe() string {
+	s := w.cloud.Describe()
+	for _, n := range w.nodes {
+		s += fmt.Sprintf("%s: alive %v, session %d, holds %v, busy %v, syncing %v", n.name, n.alive, n.ctl.session, n.ctl.auth.Holds(n.ctl.clock()), n.ctl.busy, n.ctl.syncing)
+		if l := n.ctl.leading; l != nil {
+			s += fmt.Sprintf(", leads: ready %v, resync %v, queued %d, budget %d", l.ready, l.resync, l.h.Queued(), n.ctl.budget.Left(n.ctl.clock()))
+		}
+		s += "\n"
+	}
+	return s
+}
--- /dev/null
+++ b/internal/standin/cloud.go
@@ -0,0 +1,160 @@
+package standin
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"woadweir/internal/cloud"
+	"woadweir/internal/core/model"
+)
+
+// Cloud is a stand-in for the cloud, with the machines and their workers.
+type Cloud struct {
+	Flavors  []model.Flavor
+	Capacity map[string]int // build/yard/spot -> machines at once
+	Down     bool
+	Lag      model.Micros
+	Run      func(*model.Job) model.Micros
+	Times    Times
+
+	sim      *Sim
+	net      Net
+	rules    *Rules
+	gangs    map[gangKey]map[*Task]bool
+	machines []*machine
+	hires    map[string][]string
+	next     int
+}
+
+type machine struct {
+	w        *Worker
+	rented   model.Micros
+	up       model.Micros // -1: never
+	goneAt   model.Micros
+	gone     bool
+	upWorker bool
+}
+
+// NewCloud makes a cloud without machines.
+func NewCloud(sim *Sim, net Net, rules *Rules, flavors []model.Flavor, t Times) *Cloud {
+	return &Cloud{Flavors: flavors, Capacity: map[string]int{}, Lag: 3 * model.Second, Times: t, sim: sim, net: net, rules: rules,
+		gangs: map[gangKey]map[*Task]bool{}, hires: map[string][]string{}, Run: func(j *model.Job) model.Micros { return j.Guess }}
+}
+
+func offer(build, yard string, spot bool) string { return fmt.Sprintf("%s/%s/%v", build, yard, spot) }
+
+// Rent is POST /rentals.
+func (c *Cloud) Rent(r *cloud.Rental) ([]string, error) {
+	if c.Down {
+		return nil, cloud.ErrTrouble
+	}
+	if old, ok := c.hires[r.Hire]; ok {
+		return old, nil
+	}
+	if r.Count < 1 || r.Count > 50 {
+		panic("rental of a bad count")
+	}
+	used := 0
+	for _, m := range c.machines {
+		if !m.gone && m.w.Build == r.Build && m.w.Yard == r.Yard && m.w.Spot == r.Loaners {
+			used++
+		}
+	}
+	n := min(r.Count, c.Capacity[offer(r.Build, r.Yard, r.Loaners)]-used)
+	if n <= 0 {
+		return nil, cloud.ErrNoCapacity
+	}
+	var f *model.Flavor
+	for i := range c.Flavors {
+		if c.Flavors[i].Label == r.Build {
+			f = &c.Flavors[i]
+		}
+	}
+	var refs []string
+	for range n {
+		ref := fmt.Sprintf("host-%06d", c.next)
+		c.next++
+		m := &machine{rented: c.sim.Now, w: &Worker{Ref: ref, Build: r.Build, Yard: r.Yard, Spot: r.Loaners, Size: f.Size(),
+			sim: c.sim, net: c.net, rules: c.rules, gangs: c.gangs, run: c.Run, t: c.Times}}
+		c.machines = append(c.machines, m)
+		refs = append(refs, ref)
+		if c.sim.Chance(0.03) {
+			m.up = -1
+			continue
+		}
+		m.up = c.sim.Now + c.sim.Between(model.Seconds(f.BootS*0.6), model.Seconds(f.BootS*1.5))
+		c.sim.At(m.up, func() {
+			if !m.gone {
+				m.upWorker = true
+				m.w.begin()
+			}
+		})
+	}
+	c.hires[r.Hire] = refs
+	return refs, nil
+}
+
+// Delete is POST /rentals/delete.
+func (c *Cloud) Delete(refs []string) error {
+	if c.Down {
+		return cloud.ErrTrouble
+	}
+	for _, m := range c.machines {
+		if slices.Contains(refs, m.w.Ref) && !m.gone {
+			m.w.Die()
+			m.gone, m.goneAt = true, c.sim.Now
+		}
+	}
+	return nil
+}
+
+// List is GET /rentals, late by the lag.
+func (c *Cloud) List() ([]cloud.Machine, error) {
+	if c.Down {
+		return nil, cloud.ErrTrouble
+	}
+	at := c.sim.Now - c.sim.Between(c.Lag/2, 2*c.Lag)
+	var out []cloud.Machine
+	for _, m := range c.machines {
+		if m.rented > at || m.gone && m.goneAt <= at {
+			continue
+		}
+		st := "starting"
+		if m.up >= 0 && m.up <= at {
+			st = "running"
+		}
+		out = append(out, cloud.Machine{Ref: m.w.Ref, Build: m.w.Build, Yard: m.w.Yard, Loaners: m.w.Spot, Status: st,
+			HeldS: (at - m.rented).Seconds()})
+	}
+	return out, nil
+}
+
+// Workers are the machines that are up.
+func (c *Cloud) Workers() (ws []*Worker) {
+	for _, m := range c.machines {
+		if m.upWorker && !m.gone && !m.w.dead {
+			ws = append(ws, m.w)
+		}
+	}
+	return ws
+}
+
+// Rented is the number of machines that are paid for.
+func (c *Cloud) Rented() (n int) {
+	for _, m := range c.machines {
+		if !m.gone {
+			n++
+		}
+	}
+	return n
+}
+
+// Describe is for failure messages.
+func (c *Cloud) Describe() string {
+	var b strings.Builder
+	for _, w := range c.Workers() {
+		b.WriteString(w.Describe() + "\n")
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/standin/rules.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"woadweir/internal/core/model"
+)
+
+// Rules watches what must hold under every failure.
+type Rules struct {
+	sim    *Sim
+	Teams  map[string]*model.Team
+	Cancel model.Micros
+	Broken []string
+
+	Subs      map[string]*model.Job // every job that a user submitted
+	on        map[model.PieceID]map[*Task]bool
+	used      map[string]model.Need
+	completed map[model.PieceID]bool
+	cancelled map[string]model.Micros // when a user asked
+	told      map[string]string       // the end that was told
+	toldAt    map[string]model.Micros
+	Accepted  map[string]bool
+	Starts    int
+}
+
+// NewRules makes a watch.
+func NewRules(sim *Sim, teams map[string]*model.Team, cancel model.Micros) *Rules {
+	return &Rules{sim: sim, Teams: teams, Cancel: cancel, Subs: map[string]*model.Job{}, on: map[model.PieceID]map[*Task]bool{},
+		used: map[string]model.Need{}, completed: map[model.PieceID]bool{}, cancelled: map[string]model.Micros{},
+		told: map[string]string{}, toldAt: map[string]model.Micros{}, Accepted: map[string]bool{}}
+}
+
+func (r *Rules) broken(format string, args ...any) {
+	r.Broken = append(r.Broken, fmt.Sprintf("%.3f ", r.sim.Now.Seconds())+fmt.Sprintf(format, args...))
+}
+
+// enter notes that a task is on its machine: it has its image.
+func (r *Rules) enter(t *Task) {
+	r.Starts++
+	j := t.job
+	if len(r.on[t.id]) > 0 {
+		r.broken("ran_twice: %s on %s", t.id, t.w.Ref)
+	}
+	if !j.Allows(t.w.Build, t.w.Yard, t.w.Spot) {
+		r.broken("wrong_place: %s on %s", t.id, t.w.Ref)
+	}
+	inYard, elsewhere := 0, 0
+	for n := range j.Pieces {
+		for o := range r.on[model.PieceID{Job: j.Ref, N: n}] {
+			if o.w.Yard == t.w.Yard {
+				inYard++
+			} else {
+				elsewhere++
+			}
+		}
+	}
+	if j.SamePlace && elsewhere > 0 || inYard+1 > j.PerYard() {
+		r.broken("wrong_place: %s in %s: %d there, %d elsewhere", t.id, t.w.Yard, inYard, elsewhere)
+	}
+	if r.on[t.id] == nil {
+		r.on[t.id] = map[*Task]bool{}
+	}
+	r.on[t.id][t] = true
+	r.used[j.Owner] = r.used[j.Owner].Plus(j.Need)
+	if !r.Teams[j.Owner].Within(r.used[j.Owner]) {
+		r.broken("quota: %s uses %v", j.Owner, r.used[j.Owner])
+	}
+	if at, ok := r.toldAt[j.Ref]; ok && r.told[j.Ref] == "withdrawn" && r.sim.Now > at+r.Cancel {
+		r.broken("ran_cancelled: %s starts", t.id)
+	}
+}
+
+// leave notes that a task is off its machine.
+func (r *Rules) leave(t *Task) {
+	if !r.on[t.id][t] {
+		return
+	}
+	delete(r.on[t.id], t)
+	r.used[t.job.Owner] = r.used[t.job.Owner].Minus(t.job.Need)
+	if at, ok := r.toldAt[t.job.Ref]; ok && r.told[t.job.Ref] == "withdrawn" && r.sim.Now > at+r.Cancel {
+		r.broken("ran_cancelled: %s was on %s for %.1f s", t.id, t.w.Ref, (r.sim.Now - at).Seconds())
+	}
+}
+
+// tell notes an answer that a user got about a job.
+func (r *Rules) tell(ref string, code int, status string) {
+	switch {
+	case code == 404 || code == 400 || code == 422:
+		if r.Accepted[ref] {
+			r.broken("forgotten: %s answered %d", ref, code)
+		}
+		return
+	case code != 200 && code != 201:
+		return
+	}
+	j := r.Subs[ref]
+	if j == nil {
+		r.broken("invented: %s", ref)
+		return
+	}
+	r.Accepted[ref] = true
+	if old := r.told[ref]; old != "" && old != status {
+		r.broken("went_back: %s was %s, is %s", ref, old, status)
+	}
+	switch status {
+	case "done":
+		for n := range j.Pieces {
+			if !r.completed[model.PieceID{Job: ref, N: n}] {
+				r.broken("not_done: %s", ref)
+				break
+			}
+		}
+	case "withdrawn":
+		if _, asked := r.cancelled[ref]; !asked {
+			r.broken("went_back: %s withdrawn unasked", ref)
+		}
+	default:
+		return
+	}
+	if r.told[ref] == "" {
+		r.told[ref] = status
+		r.toldAt[ref] = r.sim.Now
+	}
+}
+
+// Ended is the end that users were told.
+func (r *Rules) Ended(ref string) string { return r.told[ref] }
+
+// OnMachine tells how many tasks are on machines.
+func (r *Rules) OnMachine() (n int) {
+	for _, ts := range r.on {
+		n += len(ts)
+	}
+	return n
+}
+
+// Tell notes an answer with its body.
+func (r *Rules) Tell(ref string, code int, body []byte) {
+	var a struct {
+		Ref    string `json:"ref"`
+		Status string `json:"status"`
+	}
+	if code == 200 || code == 201 {
+		if err := json.Unmarshal(body, &a); err != nil || a.Ref != ref {
+			r.broken("answer about %s is %s", ref, body)
+			return
+		}
+	}
+	r.tell(ref, code, a.Status)
+}
+
+// Ask notes that the user asks to cancel.
+func (r *Rules) Ask(ref string) { r.cancelled[ref] = r.sim.Now }
--- /dev/null
+++ b/internal/standin/state.go
@@ -0,0 +1,209 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+
+	"woadweir/internal/core/model"
+	"woadweir/internal/state"
+)
+
+// State is a stand-in for the state service. Outage makes it refuse everybody,
+// Refused single nodes; leases have their full time again after an outage.
+type State struct {
+	sim     *Sim
+	TxnOps  int
+	ValueKB int
+	Refused map[string]bool
+	outage  bool
+	epoch   uint64
+	keys    map[string]state.Entry
+	log     []state.Event
+	Kept    int // changes that are kept for watches
+	leases  map[uint64]*lease
+	nextID  uint64
+	Writes  int
+}
+
+type lease struct {
+	ttl, until model.Micros
+}
+
+// NewState makes an empty store.
+func NewState(sim *Sim) *State {
+	return &State{sim: sim, TxnOps: 16, ValueKB: 32, Refused: map[string]bool{}, keys: map[string]state.Entry{},
+		Kept: 10_000, leases: map[uint64]*lease{}}
+}
+
+// SetOutage begins or ends an outage.
+func (s *State) SetOutage(on bool) {
+	s.expire()
+	s.outage = on
+	if !on {
+		for _, l := range s.leases {
+			l.until = s.sim.Now + l.ttl
+		}
+	}
+}
+
+func (s *State) expire() {
+	if s.outage {
+		return
+	}
+	for id, l := range s.leases {
+		if s.sim.Now >= l.until {
+			s.endLease(id)
+		}
+	}
+}
+
+func (s *State) endLease(id uint64) {
+	delete(s.leases, id)
+	var gone []string
+	for k, e := range s.keys {
+		if e.Tenancy == id {
+			gone = append(gone, k)
+		}
+	}
+	slices.Sort(gone)
+	if len(gone) == 0 {
+		return
+	}
+	s.epoch++
+	for _, k := range gone {
+		delete(s.keys, k)
+		s.log = append(s.log, state.Event{Drop: k, Stamp: s.epoch})
+	}
+}
+
+func (s *State) refuse(node string) bool {
+	s.expire()
+	return s.outage || s.Refused[node]
+}
+
+// Get is GET /keys/{key}.
+func (s *State) Get(node, key string) (*state.Entry, error) {
+	if s.refuse(node) {
+		return nil, state.ErrRefused
+	}
+	if e, ok := s.keys[key]; ok {
+		return &e, nil
+	}
+	return nil, state.ErrMissing
+}
+
+// List is GET /keys with all pages.
+func (s *State) List(node string) ([]state.Entry, uint64, error) {
+	if s.refuse(node) {
+		return nil, 0, state.ErrRefused
+	}
+	var es []state.Entry
+	for _, e := range s.keys {
+		es = append(es, e)
+	}
+	slices.SortFunc(es, func(a, b state.Entry) int { return strings.Compare(a.Path, b.Path) })
+	return es, s.epoch, nil
+}
+
+// Watch is GET /watch without waiting.
+func (s *State) Watch(node string, from uint64) (*state.Changes, error) {
+	if s.refuse(node) {
+		return nil, state.ErrRefused
+	}
+	if n := len(s.log); n > s.Kept {
+		if s.log[n-s.Kept-1].Stamp > from {
+			return nil, state.ErrTooOld
+		}
+	}
+	ch := &state.Changes{Epoch: s.epoch}
+	for i := len(s.log) - 1; i >= 0 && s.log[i].Stamp > from; i-- {
+		ch.Events = append(ch.Events, s.log[i])
+	}
+	slices.Reverse(ch.Events)
+	return ch, nil
+}
+
+// Commit is POST /commit.
+func (s *State) Commit(node string, t *state.Txn) (*state.Result, error) {
+	if s.refuse(node) {
+		return nil, state.ErrRefused
+	}
+	if len(t.Then) > s.TxnOps || len(t.Guards) > 4*s.TxnOps {
+		panic(fmt.Sprintf("transaction too large: %d changes, %d conditions", len(t.Then), len(t.Guards)))
+	}
+	s.Writes += len(t.Then)
+	res := &state.Result{Epoch: s.epoch}
+	for _, op := range t.Then {
+		if op.Tenancy != 0 && s.leases[op.Tenancy] == nil {
+			return nil, state.ErrNoLease
+		}
+	}
+	for _, g := range t.Guards {
+		if s.keys[g.Path].Stamp != g.Stamp {
+			res.Failed = append(res.Failed, g.Path)
+		}
+	}
+	if len(res.Failed) > 0 {
+		return res, nil
+	}
+	res.OK = true
+	if len(t.Then) == 0 {
+		return res, nil
+	}
+	s.epoch++
+	res.Epoch = s.epoch
+	for _, op := range t.Then {
+		if op.Drop != "" {
+			delete(s.keys, op.Drop)
+			s.log = append(s.log, state.Event{Drop: op.Drop, Stamp: s.epoch})
+			continue
+		}
+		raw, err := json.Marshal(op.Value)
+		if err != nil || len(raw) > s.ValueKB*1024 {
+			panic(fmt.Sprintf("value of %s: %d bytes, %v", op.Set, len(raw), err))
+		}
+		s.keys[op.Set] = state.Entry{Path: op.Set, Value: raw, Stamp: s.epoch, Tenancy: op.Tenancy}
+		s.log = append(s.log, state.Event{Set: op.Set, Value: raw, Stamp: s.epoch})
+	}
+	return res, nil
+}
+
+// Grant is POST /grants.
+func (s *State) Grant(node string, ttl model.Micros) (uint64, error) {
+	if s.refuse(node) {
+		return 0, state.ErrRefused
+	}
+	s.nextID++
+	s.leases[s.nextID] = &lease{ttl, s.sim.Now + ttl}
+	return s.nextID, nil
+}
+
+// Touch is POST /grants/{id}/touch.
+func (s *State) Touch(node string, id uint64) error {
+	if s.refuse(node) {
+		return state.ErrRefused
+	}
+	l := s.leases[id]
+	if l == nil {
+		return state.ErrMissing
+	}
+	l.until = s.sim.Now + l.ttl
+	return nil
+}
+
+// End is DELETE /grants/{id}.
+func (s *State) End(node string, id uint64) error {
+	if s.refuse(node) {
+		return state.ErrRefused
+	}
+	if s.leases[id] == nil {
+		return state.ErrMissing
+	}
+	s.endLease(id)
+	return nil
+}
+
+// Has tells whether a key exists.
+func (s *State) Has(key string) bool { _, ok := s.keys[key]; return ok }
