Rank hosts by the fetch that a task would wait for

Ruled out: binding latency (p50 of bind to run 2.2 s with the image there). Change: hosts are ranked by seconds of waiting; stranding GPUs costs 8 s. Also, found by the property test: a job that had failed on three machines was neither placed on them again nor rented for, for ever. It is now merely placed there last, and rented for between its pauses.

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -117,6 +117,7 @@
 	}
 	h.Jobs[j.Ref] = js
 	h.NeedPlace = true
+	h.Log(Event{What: "job", Piece: j.Ref, Why: j.Class})
 	return js
 }
 
@@ -340,6 +341,7 @@
 	b.Seen = true
 	if b.Status != model.Running && p.Status == model.Running {
 		b.RunAt = now
+		h.Log(Event{What: "runs", Host: m.Ref, Piece: b.ID.String(), Try: b.Try})
 		js := h.Jobs[b.ID.Job]
 		if js.FirstRun == 0 {
 			js.FirstRun = now
@@ -570,7 +572,7 @@
 
 // World is what a placement round looks at.
 func (h *Holder) World(now model.Micros) *place.World {
-	w := &place.World{Now: now, Silent: 3 * h.P.Report, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry,
+	w := &place.World{Now: now, Silent: 3 * h.P.Report, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors,
 		Hosts: make([]*model.Host, 0, len(h.Hosts)), Jobs: make([]*model.JobState, 0, len(h.Jobs))}
 	for _, m := range h.Hosts {
 		w.Hosts = append(w.Hosts, m)
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -22,6 +22,9 @@
 	PerGPU  model.Need            // what a GPU task takes beside each GPU
 	NextTry func() uint64
 	Bind    func(j *model.JobState, n int, h *model.Host, try uint64)
+	Flavors map[string]*model.Flavor
+
+	kept map[*model.Host]model.Need // room kept for jobs served earlier
 }
 
 // Open tells whether the host takes new work now.
@@ -84,50 +87,64 @@
 	return max(0, j.PerYard()-in)
 }
 
-// tier ranks a host for a job; lower is better.
-func (w *World) tier(j *model.JobState, h *model.Host) int {
-	t := 0
+// free is the room on a host that is not kept for a job served earlier.
+func (w *World) free(h *model.Host) model.Need { return h.Free().Minus(w.kept[h]) }
+
+// What a choice costs, counted in the time that it makes a task wait.
+const (
+	costOrdinary  = model.Second      // an ordinary machine, where a spot machine would do
+	costGPUHost   = model.Second      // a GPU machine for a task without GPUs
+	costStrandGPU = 8 * model.Second  // leaving GPUs that nothing can use
+	costErred     = 30 * model.Second // the job has failed there before
+)
+
+// cost ranks a host for a job: the image fetch, and what is spoilt for others.
+func (w *World) cost(j *model.JobState, h *model.Host) (c model.Micros, strands bool) {
 	if !h.HasImage(j.Image) {
-		t += 2
+		if f := w.Flavors[h.Build]; f != nil && f.FetchGBps > 0 {
+			c += model.Seconds(j.ImageGB / f.FetchGBps)
+		}
 	}
 	if h.Size.GPUs > 0 && j.Need.GPUs == 0 {
-		left := h.Free().Minus(j.Need)
+		left := w.free(h).Minus(j.Need)
 		k := int(left.GPUs / 1000)
 		if need := w.PerGPU.Times(k); need.Cores > left.Cores || need.Mem > left.Mem {
-			t += 8 // it would leave GPUs that nothing can use
+			c += costStrandGPU
+			strands = true
 		} else {
-			t++
+			c += costGPUHost
 		}
 	}
-	return t
+	if !h.Spot && j.Loaners {
+		c += costOrdinary
+	}
+	if j.ErrorHosts[h.Ref] {
+		c += costErred
+	}
+	return c, strands
 }
 
 type candidate struct {
 	h    *model.Host
-	tier int
+	cost model.Micros
 	free model.Milli
 }
 
 func (w *World) candidates(j *model.JobState) []candidate {
 	var cs []candidate
 	for _, h := range w.Hosts {
-		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(h.Free()) {
+		free := w.free(h)
+		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(free) {
 			continue
 		}
-		if j.ErrorHosts[h.Ref] && len(j.ErrorHosts) < 4 {
+		c, strands := w.cost(j, h)
+		if strands && j.Rank < model.Urgent {
 			continue
 		}
-		t := w.tier(j, h)
-		if t >= 8 && j.Rank < model.Urgent {
-			continue
-		}
-		if !h.Spot && j.Loaners {
-			t++ // leave ordinary machines to those who need them
-		}
-		cs = append(cs, candidate{h, t, h.Free().Cores})
+		cs = append(cs, candidate{h, c, free.Cores})
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
-		if c := cmp.Compare(a.tier, b.tier); c != 0 {
+		if c := cmp.Compare(a.cost, b.cost); c != 0 {
 			return c
 		}
 		if c := cmp.Compare(a.free, b.free); c != 0 {
@@ -141,6 +158,7 @@
 // Round places what it can and calls Bind for each decision.
 func (w *World) Round() {
 	Sort(w.Jobs, w.Teams)
+	w.kept = map[*model.Host]model.Need{}
 	for _, j := range w.Jobs {
 		if j.Ended != "" || j.EndWanted || len(j.Waiting) == 0 || w.Now < j.NotBefore {
 			continue
@@ -171,7 +189,7 @@
 		return
 	}
 	for _, c := range w.candidates(j) {
-		k := min(left, j.Need.Count(c.h.Free(), left), YardRoom(j, c.h.Yard))
+		k := min(left, j.Need.Count(w.free(c.h), left), YardRoom(j, c.h.Yard))
 		for ; k > 0; k-- {
 			w.Bind(j, j.Waiting[0], c.h, w.NextTry())
 			left--
@@ -199,14 +217,14 @@
 			}
 			byYard[c.h.Yard] = append(byYard[c.h.Yard], c)
 		}
-		bestTier := 0
+		bestCost := model.Micros(0)
 		for _, y := range yards {
-			if hs, tier := pick(j, byYard[y]); hs != nil && (best == nil || tier < bestTier) {
-				best, bestTier = hs, tier
+			if hs, cost := w.pick(j, byYard[y]); hs != nil && (best == nil || cost < bestCost) {
+				best, bestCost = hs, cost
 			}
 		}
 	} else {
-		best, _ = pick(j, cs)
+		best, _ = w.pick(j, cs)
 	}
 	if best == nil {
 		return
@@ -218,16 +236,16 @@
 }
 
 // pick chooses a host for every task of the gang, or none.
-func pick(j *model.JobState, cs []candidate) (hosts []*model.Host, tier int) {
+func (w *World) pick(j *model.JobState, cs []candidate) (hosts []*model.Host, cost model.Micros) {
 	inYard := map[string]int{}
 	for _, c := range cs {
-		for k := j.Need.Count(c.h.Free(), j.Pieces-len(hosts)); k > 0 && inYard[c.h.Yard] < j.PerYard(); k-- {
+		for k := j.Need.Count(w.free(c.h), j.Pieces-len(hosts)); k > 0 && inYard[c.h.Yard] < j.PerYard(); k-- {
 			hosts = append(hosts, c.h)
 			inYard[c.h.Yard]++
-			tier += c.tier
+			cost = max(cost, c.cost)
 		}
 		if len(hosts) == j.Pieces {
-			return hosts, tier
+			return hosts, cost
 		}
 	}
 	return nil, 0
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -483,7 +483,7 @@
 	}
 	for _, j := range w.Jobs {
 		l.sizes[j.Need] = c.now
-		if len(j.Waiting) == 0 || len(j.ErrorHosts) >= 3 {
+		if len(j.Waiting) == 0 || c.now < j.NotBefore {
 			continue
 		}
 		need := j.Need
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -85,7 +85,10 @@
 }
 
 // tell notes an answer that a user got about a job.
-func (r *Rules) tell(ref string, code int, status string) {
+func (r *Rules) tell(ref string, code int, status string, asked model.Micros) {
+	if at, ok := r.toldAt[ref]; ok && asked <= at {
+		return // asked before the end was told: either answer is right
+	}
 	switch {
 	case code == 404 || code == 400 || code == 422:
 		if r.Accepted[ref] {
@@ -136,8 +139,8 @@
 	return n
 }
 
-// Tell notes an answer with its body.
-func (r *Rules) Tell(ref string, code int, body []byte) {
+// Tell notes an answer with its body, to a request that was made at that time.
+func (r *Rules) Tell(ref string, code int, body []byte, asked model.Micros) {
 	var a struct {
 		Ref    string `json:"ref"`
 		Status string `json:"status"`
@@ -148,7 +151,7 @@
 			return
 		}
 	}
-	r.tell(ref, code, a.Status)
+	r.tell(ref, code, a.Status, asked)
 }
 
 // Ask notes that the user asks to cancel.
