Preempt for urgent work, and keep room beside wanted GPUs

Change: a job whose class has a wait aim stops work of lower rank where that loses least, once it has waited two fifths of the aim; room beside GPUs that are wanted is kept for GPU tasks.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -179,6 +179,20 @@
 	return m
 }
 
+// Waits gives, by class, the shortest time within which its tasks are to start.
+func (s *Settings) Waits() map[string]model.Micros {
+	m := map[string]model.Micros{}
+	for _, o := range s.Params.Objectives {
+		if o.Kind != "wait" || o.Class == "" || o.WithinS <= 0 {
+			continue
+		}
+		if w, ok := m[o.Class]; !ok || model.Seconds(o.WithinS) < w {
+			m[o.Class] = model.Seconds(o.WithinS)
+		}
+	}
+	return m
+}
+
 // Operator is the operators' own file.
 type Operator struct {
 	XMLName           xml.Name `xml:"woadweir"`
--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -19,7 +19,8 @@
 	Lease    model.Micros
 	GangWait model.Micros
 	GangPeer model.Micros
-	Margin   model.Micros // added where the end of another's lease is waited for
+	Waits    map[string]model.Micros // by class: the time within which its tasks are to start
+	Margin   model.Micros            // added where the end of another's lease is waited for
 }
 
 // Piece is a task in a report.
@@ -577,16 +578,44 @@
 	for _, m := range h.Hosts {
 		w.Hosts = append(w.Hosts, m)
 	}
+	var gpus model.Milli
+	var beside model.Need
+	wanted := map[string]model.Milli{}
 	for _, j := range h.Jobs {
 		if j.Ended != "" {
 			continue
 		}
 		w.Jobs = append(w.Jobs, j)
 		if g := j.Need.GPUs; g > 0 {
-			w.PerGPU.Cores = max(w.PerGPU.Cores, j.Need.Cores*1000/g)
-			w.PerGPU.Mem = max(w.PerGPU.Mem, j.Need.Mem*1000/g)
+			n := len(j.Waiting) + j.BoundCount()
+			gpus += g * model.Milli(n)
+			beside = beside.Plus(j.Need.Times(n))
+			wanted[j.Owner] += g * model.Milli(len(j.Waiting))
 		}
 	}
+	if gpus > 0 {
+		w.PerGPU = model.Need{Cores: beside.Cores * 1000 / gpus, Mem: beside.Mem * 1000 / gpus}
+	}
+	for owner, g := range wanted {
+		// Besides what waits, some more may come: half of what is in use.
+		if t := h.P.Teams[owner]; t != nil {
+			used := h.Used[owner].GPUs
+			w.GPUs += max(0, min(t.Max.GPUs-used, g+used/2))
+		}
+	}
+	w.Stop = func(b *model.Bound, why string) {
+		leeway := model.Micros(0)
+		if b.Job.Keepsake > 0 {
+			leeway = b.Job.Stow + model.Second
+		}
+		h.stop(b, leeway, why, now)
+	}
+	w.Patience = func(j *model.JobState) model.Micros {
+		if p, ok := h.P.Waits[j.Class]; ok {
+			return p * 2 / 5
+		}
+		return 60 * model.Second
+	}
 	w.Bind = func(j *model.JobState, n int, m *model.Host, try uint64) { h.bind(j, n, m, try, now) }
 	return w
 }
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -19,12 +19,19 @@
 	Jobs    []*model.JobState
 	Teams   map[string]*model.Team
 	Used    map[string]model.Need // by team, all bound pieces
-	PerGPU  model.Need            // what a GPU task takes beside each GPU
+	PerGPU  model.Need            // what a GPU task takes beside each GPU, on average
+	GPUs    model.Milli           // GPUs that are, or may soon be, wanted beyond those in use
 	NextTry func() uint64
 	Bind    func(j *model.JobState, n int, h *model.Host, try uint64)
 	Flavors map[string]*model.Flavor
+	// Stop asks for a bound piece to be stopped, to make room.
+	Stop func(b *model.Bound, why string)
+	// Patience is how long a job may wait before work of lower rank is stopped
+	// for it.
+	Patience func(j *model.JobState) model.Micros
 
-	kept map[*model.Host]model.Need // room kept for jobs served earlier
+	kept    map[*model.Host]model.Need // room kept for jobs served earlier
+	reserve map[*model.Host]model.Need // room beside free GPUs, kept for GPU tasks
 }
 
 // Open tells whether the host takes new work now.
@@ -90,6 +97,50 @@
 // free is the room on a host that is not kept for a job served earlier.
 func (w *World) free(h *model.Host) model.Need { return h.Free().Minus(w.kept[h]) }
 
+// room is what the job may use of a host: a task without GPUs leaves what GPU
+// tasks need beside the GPUs that are wanted, unless it is urgent and late.
+func (w *World) room(j *model.JobState, h *model.Host) model.Need {
+	free := w.free(h)
+	if j.Need.GPUs > 0 || j.Rank >= model.Urgent && w.late(j) {
+		return free
+	}
+	return free.Minus(w.reserve[h])
+}
+
+// spare sets the reserve: free GPUs that are wanted, on the machines that suit
+// GPU tasks best, with what such a task takes beside each.
+func (w *World) spare() {
+	w.reserve = map[*model.Host]model.Need{}
+	var hs []*model.Host
+	for _, h := range w.Hosts {
+		if h.Size.GPUs > 0 && w.Open(h) && h.Free().GPUs > 0 {
+			hs = append(hs, h)
+		}
+	}
+	slices.SortFunc(hs, func(a, b *model.Host) int {
+		if a.Spot != b.Spot {
+			if a.Spot {
+				return -1
+			}
+			return 1
+		}
+		if c := cmp.Compare(a.Free().GPUs, b.Free().GPUs); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Ref, b.Ref)
+	})
+	left := w.GPUs
+	for _, h := range hs {
+		if left <= 0 {
+			return
+		}
+		g := min(left, h.Free().GPUs)
+		left -= g
+		per := model.Need{Cores: min(w.PerGPU.Cores, h.Size.Cores*1000/h.Size.GPUs), Mem: min(w.PerGPU.Mem, h.Size.Mem*1000/h.Size.GPUs)}
+		w.reserve[h] = model.Need{Cores: per.Cores * g / 1000, GPUs: g, Mem: per.Mem * g / 1000}
+	}
+}
+
 // What a choice costs, counted in the time that it makes a task wait.
 const (
 	costOrdinary  = model.Second      // an ordinary machine, where a spot machine would do
@@ -99,20 +150,16 @@
 )
 
 // cost ranks a host for a job: the image fetch, and what is spoilt for others.
-func (w *World) cost(j *model.JobState, h *model.Host) (c model.Micros, strands bool) {
+func (w *World) cost(j *model.JobState, h *model.Host) (c model.Micros) {
 	if !h.HasImage(j.Image) {
 		if f := w.Flavors[h.Build]; f != nil && f.FetchGBps > 0 {
 			c += model.Seconds(j.ImageGB / f.FetchGBps)
 		}
 	}
 	if h.Size.GPUs > 0 && j.Need.GPUs == 0 {
-		left := w.free(h).Minus(j.Need)
-		k := int(left.GPUs / 1000)
-		if need := w.PerGPU.Times(k); need.Cores > left.Cores || need.Mem > left.Mem {
+		c += costGPUHost
+		if !j.Need.Fits(w.free(h).Minus(w.reserve[h])) {
 			c += costStrandGPU
-			strands = true
-		} else {
-			c += costGPUHost
 		}
 	}
 	if !h.Spot && j.Loaners {
@@ -121,7 +168,13 @@
 	if j.ErrorHosts[h.Ref] {
 		c += costErred
 	}
-	return c, strands
+	return c
+}
+
+// late tells that a job has waited as long as it may before others suffer for
+// it.
+func (w *World) late(j *model.JobState) bool {
+	return w.Patience != nil && w.Now-j.SeenAt+stopTime >= w.Patience(j)
 }
 
 type candidate struct {
@@ -133,15 +186,10 @@
 func (w *World) candidates(j *model.JobState) []candidate {
 	var cs []candidate
 	for _, h := range w.Hosts {
-		free := w.free(h)
-		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(free) {
+		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(w.room(j, h)) {
 			continue
 		}
-		c, strands := w.cost(j, h)
-		if strands && j.Rank < model.Urgent {
-			continue
-		}
-		cs = append(cs, candidate{h, c, free.Cores})
+		cs = append(cs, candidate{h, w.cost(j, h), w.free(h).Cores})
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
 		if c := cmp.Compare(a.cost, b.cost); c != 0 {
@@ -159,6 +207,7 @@
 func (w *World) Round() {
 	Sort(w.Jobs, w.Teams)
 	w.kept = map[*model.Host]model.Need{}
+	w.spare()
 	for _, j := range w.Jobs {
 		if j.Ended != "" || j.EndWanted || len(j.Waiting) == 0 || w.Now < j.NotBefore {
 			continue
@@ -168,6 +217,9 @@
 		} else {
 			w.sweep(j)
 		}
+		if len(j.Waiting) > 0 && w.Stop != nil {
+			w.preempt(j)
+		}
 	}
 }
 
@@ -189,7 +241,7 @@
 		return
 	}
 	for _, c := range w.candidates(j) {
-		k := min(left, j.Need.Count(w.free(c.h), left), YardRoom(j, c.h.Yard))
+		k := min(left, j.Need.Count(w.room(j, c.h), left), YardRoom(j, c.h.Yard))
 		for ; k > 0; k-- {
 			w.Bind(j, j.Waiting[0], c.h, w.NextTry())
 			left--
@@ -239,7 +291,7 @@
 func (w *World) pick(j *model.JobState, cs []candidate) (hosts []*model.Host, cost model.Micros) {
 	inYard := map[string]int{}
 	for _, c := range cs {
-		for k := j.Need.Count(w.free(c.h), j.Pieces-len(hosts)); k > 0 && inYard[c.h.Yard] < j.PerYard(); k-- {
+		for k := j.Need.Count(w.room(j, c.h), j.Pieces-len(hosts)); k > 0 && inYard[c.h.Yard] < j.PerYard(); k-- {
 			hosts = append(hosts, c.h)
 			inYard[c.h.Yard]++
 			cost = max(cost, c.cost)
--- /dev/null
+++ b/internal/core/place/preempt.go
@@ -0,0 +1,107 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+
+	"woadweir/internal/core/model"
+)
+
+// stopTime is about how long it takes until a stopped task's room is free: two
+// reports.
+const stopTime = 3 * model.Second
+
+// preempt makes room for a job of higher rank that found none: it stops tasks
+// of lower rank where that loses least, and keeps the room that comes free for
+// this job. Room that earlier stops are about to free counts first.
+func (w *World) preempt(j *model.JobState) {
+	n := w.teamRoom(j, len(j.Waiting))
+	if j.Shape == model.Gang && (len(j.Bound) > 0 || n < j.Pieces) || n == 0 {
+		return
+	}
+	type option struct {
+		h       *model.Host
+		victims []*model.Bound
+		cost    model.Micros
+	}
+	var options []option
+	for _, h := range w.Hosts {
+		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(h.Size) {
+			continue
+		}
+		fetch := w.cost(j, h)
+		// Room for one task after another, as long as there are victims.
+		free := w.free(h)
+		var victims []*model.Bound
+		for _, b := range h.Bound {
+			if b.Stop {
+				free = free.Plus(b.Job.Need)
+			} else if b.Job.Rank < j.Rank && b.Job.Shape != model.Gang {
+				victims = append(victims, b)
+			}
+		}
+		slices.SortFunc(victims, func(a, b *model.Bound) int {
+			if c := cmp.Compare(w.loss(a), w.loss(b)); c != 0 {
+				return c
+			}
+			return cmp.Compare(a.Try, b.Try)
+		})
+		for range n {
+			o := option{h: h, cost: fetch}
+			for len(victims) > 0 && !j.Need.Fits(free) {
+				free = free.Plus(victims[0].Job.Need)
+				o.cost += w.loss(victims[0])
+				o.victims = append(o.victims, victims[0])
+				victims = victims[1:]
+			}
+			if !j.Need.Fits(free) {
+				break
+			}
+			free = free.Minus(j.Need)
+			options = append(options, o)
+		}
+	}
+	slices.SortStableFunc(options, func(a, b option) int {
+		if c := cmp.Compare(a.cost, b.cost); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.h.Ref, b.h.Ref)
+	})
+	var chosen []option
+	inYard := map[string]int{}
+	for _, o := range options {
+		if len(chosen) == n {
+			break
+		}
+		if j.SamePlace && len(chosen) > 0 && chosen[0].h.Yard != o.h.Yard || inYard[o.h.Yard] >= YardRoom(j, o.h.Yard) {
+			continue
+		}
+		inYard[o.h.Yard]++
+		chosen = append(chosen, o)
+	}
+	if len(chosen) == 0 || j.Shape == model.Gang && len(chosen) < j.Pieces {
+		return
+	}
+	late := w.late(j)
+	for _, o := range chosen {
+		if len(o.victims) > 0 && !late {
+			continue
+		}
+		for _, b := range o.victims {
+			w.Stop(b, "room for "+j.Ref)
+		}
+		w.kept[o.h] = w.kept[o.h].Plus(j.Need)
+	}
+}
+
+// loss is the work that is lost when a task is stopped.
+func (w *World) loss(b *model.Bound) model.Micros {
+	if b.RunAt == 0 {
+		return 0
+	}
+	ran := w.Now - b.RunAt
+	if b.Job.Keepsake > 0 {
+		return b.Job.Stow
+	}
+	return ran
+}
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -68,7 +68,7 @@
 	c := l.c
 	w := c.set.Params.Workers
 	l.h = block.New(block.Params{Teams: c.teams, Report: model.Seconds(w.ReportS), Lease: model.Seconds(w.LeaseS),
-		GangWait: model.Seconds(w.GangWaitS), GangPeer: model.Seconds(w.GangPeerS), Margin: model.Second}, l.token)
+		GangWait: model.Seconds(w.GangWaitS), GangPeer: model.Seconds(w.GangPeerS), Margin: model.Second, Waits: c.set.Waits()}, l.token)
 	l.h.Log = logEvent
 	l.h.SetFlavors(c.view.Flavors)
 	for ref := range c.view.Jobs {
