--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -31,7 +31,7 @@
 		}
 		fetch := w.cost(j, h)
 		// Room for one task after another, as long as there are victims.
-		free := w.free(h)
+		free := w.room(j, h)
 		var victims []*model.Bound
 		for _, b := range h.Bound {
 			if b.Stop {
