Weigh preemption against stranded GPUs; no dear idle machines for placeholders

Change: tasks without GPUs join only machines whose GPUs are half in use; what is stopped and which GPUs are stranded is weighed in core seconds; placeholders alone keep a machine the shorter the dearer it is; more than five times the cheapest price per task is paid for urgent work only.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -98,12 +98,17 @@
 func (w *World) free(h *model.Host) model.Need { return h.Free().Minus(w.kept[h]) }
 
 // room is what the job may use of a host: a task without GPUs leaves what GPU
-// tasks need beside the GPUs that are wanted, unless it is urgent and late.
+// tasks need beside the GPUs that are wanted, unless it can't wait for others to
+// be stopped.
 func (w *World) room(j *model.JobState, h *model.Host) model.Need {
 	free := w.free(h)
-	if j.Need.GPUs > 0 || j.Rank >= model.Urgent && w.late(j) {
+	if j.Need.GPUs > 0 || w.pressed(j) {
 		return free
 	}
+	if h.Size.GPUs > 0 && j.Rank < model.Urgent && h.Used.GPUs*2 < h.Size.GPUs {
+		// It would keep a GPU machine in pay for work that needs none.
+		return model.Need{}
+	}
 	return free.Minus(w.reserve[h])
 }
 
@@ -143,10 +148,10 @@
 
 // What a choice costs, counted in the time that it makes a task wait.
 const (
-	costOrdinary  = model.Second      // an ordinary machine, where a spot machine would do
-	costGPUHost   = model.Second      // a GPU machine for a task without GPUs
-	costStrandGPU = 8 * model.Second  // leaving GPUs that nothing can use
-	costErred     = 30 * model.Second // the job has failed there before
+	costOrdinary = model.Second      // an ordinary machine, where a spot machine would do
+	costGPUHost  = model.Second      // a GPU machine for a task without GPUs
+	costStrand   = 8 * model.Second  // leaving GPUs that nothing can use
+	costErred    = 30 * model.Second // the job has failed there before
 )
 
 // cost ranks a host for a job: the image fetch, and what is spoilt for others.
@@ -159,7 +164,7 @@
 	if h.Size.GPUs > 0 && j.Need.GPUs == 0 {
 		c += costGPUHost
 		if !j.Need.Fits(w.free(h).Minus(w.reserve[h])) {
-			c += costStrandGPU
+			c += costStrand
 		}
 	}
 	if !h.Spot && j.Loaners {
@@ -177,6 +182,12 @@
 	return w.Patience != nil && w.Now-j.SeenAt+stopTime >= w.Patience(j)
 }
 
+// pressed tells that a job is urgent and late, and its class is to start within
+// a few reports.
+func (w *World) pressed(j *model.JobState) bool {
+	return j.Rank >= model.Urgent && w.late(j) && w.Patience(j) < 2*stopTime
+}
+
 type candidate struct {
 	h    *model.Host
 	cost model.Micros
@@ -189,7 +200,11 @@
 		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(w.room(j, h)) {
 			continue
 		}
-		cs = append(cs, candidate{h, w.cost(j, h), w.free(h).Cores})
+		left := w.free(h).Cores
+		if j.Need.GPUs > 0 {
+			left = w.free(h).GPUs // the fewer machines GPUs are used on, the more can go back
+		}
+		cs = append(cs, candidate{h, w.cost(j, h), left})
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
 		if c := cmp.Compare(a.cost, b.cost); c != 0 {
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -29,9 +29,13 @@
 		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(h.Size) {
 			continue
 		}
-		fetch := w.cost(j, h)
+		fetch := w.cost(j, h) * value(j.Need) / 4
 		// Room for one task after another, as long as there are victims.
-		free := w.room(j, h)
+		free := w.free(h)
+		reserve := w.reserve[h]
+		if j.Rank < model.Urgent {
+			free, reserve = w.room(j, h), model.Need{}
+		}
 		var victims []*model.Bound
 		for _, b := range h.Bound {
 			if b.Stop {
@@ -58,6 +62,11 @@
 				break
 			}
 			free = free.Minus(j.Need)
+			if over := reserve.Cores - free.Cores; over > 0 && reserve.GPUs > 0 {
+				// GPUs that are wanted would stand idle beside it.
+				gpus := min(reserve.GPUs, over*reserve.GPUs/reserve.Cores+999)
+				o.cost += value(model.Need{GPUs: gpus}) * max(j.Guess, 10*model.Second)
+			}
 			options = append(options, o)
 		}
 	}
@@ -94,6 +103,14 @@
 	}
 }
 
+// gpuValue is what a GPU counts beside a core when work is weighed.
+const gpuValue = 10
+
+// value weighs an amount, in thousandths of a core.
+func value(n model.Need) model.Micros {
+	return model.Micros(n.Cores+gpuValue*n.GPUs) / 1000
+}
+
 // loss is the work that is lost when a task is stopped.
 func (w *World) loss(b *model.Bound) model.Micros {
 	if b.RunAt == 0 {
@@ -101,7 +118,7 @@
 	}
 	ran := w.Now - b.RunAt
 	if b.Job.Keepsake > 0 {
-		return b.Job.Stow
+		ran = b.Job.Stow
 	}
-	return ran
+	return ran * value(b.Job.Need)
 }
--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"woadweir/internal/core/model"
@@ -18,11 +19,14 @@
 	DeadBoots   float64 // boot times after which it is given back unseen
 	Refused     model.Micros
 	MinHeld     model.Micros // the shortest time that is charged
+	Dear        float64      // waiting beats a machine that costs this many times the cheapest
+	HoldIdle    model.Micros // how long placeholders alone keep the cheapest machine
 }
 
 // Defaults are the starting values.
 func Defaults() Params {
-	return Params{Rate: 0.1, Granularity: 5, LateBoots: 2.5, DeadBoots: 4, Refused: 15 * model.Second, MinHeld: 60 * model.Second}
+	return Params{Rate: 0.1, Granularity: 5, LateBoots: 2.5, DeadBoots: 4, Refused: 15 * model.Second, MinHeld: 60 * model.Second,
+		Dear: 5, HoldIdle: 300 * model.Second}
 }
 
 // Demand is a number of waiting tasks of one job.
@@ -132,7 +136,7 @@
 			if n == 0 {
 				break
 			}
-			if !d.Job.Allows(s.offer.Build, s.offer.Yard, s.offer.Spot) {
+			if !d.Job.Allows(s.offer.Build, s.offer.Yard, s.offer.Spot) || !suits(d.Job, s) {
 				continue
 			}
 			k := d.Job.Need.Count(s.free, n)
@@ -179,7 +183,7 @@
 			if n == 0 {
 				break
 			}
-			s := l.cheapest(in, fresh, t.d.Job.Need, n, t.d.Job.Allows)
+			s := l.cheapest(in, fresh, t.d.Job.Need, n, t.d.Job.Rank >= model.Urgent, t.d.Job.Allows)
 			if s == nil {
 				break
 			}
@@ -194,8 +198,12 @@
 		if len(l.seek([]*placeholder{p}, fresh)) == 0 {
 			continue
 		}
-		// Placeholders are for any task to come, so they need an ordinary machine.
-		s := l.cheapest(in, fresh, p.size, 1, func(_, _ string, spot bool) bool { return !spot })
+		// Placeholders are for any task to come, so they need an ordinary machine,
+		// and one that may stand idle long enough to be of use.
+		s := l.cheapest(in, fresh, p.size, 1, false, func(build, _ string, spot bool) bool {
+			f := in.Flavors[build]
+			return !spot && l.hold(in, f, spot) >= 2*model.Seconds(f.BootS)
+		})
 		if s == nil {
 			continue
 		}
@@ -216,6 +224,12 @@
 	return out
 }
 
+// suits tells whether a machine is for such work: one without GPUs alone must
+// not keep a GPU machine in pay, unless it is urgent.
+func suits(j *model.JobState, s *slot) bool {
+	return s.size.GPUs == 0 || j.Need.GPUs > 0 || j.Rank >= model.Urgent || s.h != nil && s.h.Used.GPUs*2 >= s.size.GPUs
+}
+
 // seek puts placeholders into rooms and returns those that found none.
 func (l *Loop) seek(ps []*placeholder, slots []*slot) (rest []*placeholder) {
 	for _, p := range ps {
@@ -312,9 +326,10 @@
 // cheapest chooses the offer that holds n such tasks at the lowest price per
 // task. A type already chosen in this round is only asked for in the same yard
 // and kind: one call per type and round.
-func (l *Loop) cheapest(in *Input, fresh []*slot, need model.Need, n int, allows func(build, yard string, spot bool) bool) *slot {
+func (l *Loop) cheapest(in *Input, fresh []*slot, need model.Need, n int, anyPrice bool, allows func(build, yard string, spot bool) bool) *slot {
 	var best *slot
 	bestCost := 0.0
+	floor := math.Inf(1) // the lowest price per task, had everything capacity
 	var labels []string
 	for label := range in.Flavors {
 		labels = append(labels, label)
@@ -341,16 +356,24 @@
 		for _, y := range f.Yards {
 			for _, spot := range []bool{true, false} {
 				o := Offer{label, y, spot}
-				if !allows(label, y, spot) || in.Now < l.refused[o] || called != nil && *called != o {
+				if !allows(label, y, spot) {
 					continue
 				}
-				cost := f.PriceOf(spot) / float64(k)
+				cost := f.PriceOf(spot) / float64(need.Count(size, 1<<20))
+				floor = min(floor, cost)
+				if in.Now < l.refused[o] || called != nil && *called != o {
+					continue
+				}
+				cost = f.PriceOf(spot) / float64(k)
 				if best == nil || cost < bestCost {
 					best, bestCost = &slot{offer: o, size: size, free: size, left: size}, cost
 				}
 			}
 		}
 	}
+	if best != nil && !anyPrice && bestCost*float64(need.Count(best.size, n)) > l.P.Dear*floor*float64(need.Count(best.size, 1<<20)) {
+		return nil
+	}
 	return best
 }
 
@@ -368,6 +391,19 @@
 	return rs
 }
 
+// hold is how long placeholders alone keep a machine: the dearer it is per
+// core than the cheapest, the shorter.
+func (l *Loop) hold(in *Input, f *model.Flavor, spot bool) model.Micros {
+	floor := math.Inf(1)
+	for _, o := range in.Flavors {
+		if o.Cores > 0 {
+			floor = min(floor, o.Price/o.Cores)
+		}
+	}
+	own := f.PriceOf(spot) / max(f.Cores, 1)
+	return model.Micros(float64(l.P.HoldIdle) * min(1, floor/own))
+}
+
 // giveBack chooses empty machines that are not needed: no waiting task was put
 // there, its placeholders find room elsewhere, and keeping it for the next work
 // would by now have cost more than renting anew.
@@ -391,7 +427,7 @@
 		for k, p := range s.held {
 			moved[k] = p.host
 		}
-		if rest := l.seek(s.held, others); len(rest) > 0 {
+		if rest := l.seek(s.held, others); len(rest) > 0 && in.Now-s.h.EmptyAt < l.hold(in, f, s.offer.Spot) {
 			for k, o := range others {
 				o.left = saved[k]
 			}
