gRPC between controllers: siblings answer for one that is cut off from the state

Change: a node whose catch-up fails asks its siblings; one that reaches the state service answers its users' requests; a node stays healthy as long as a sibling answers.

--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -74,6 +74,13 @@
 	pauses [lanes]model.Micros
 	budget *state.Budget
 
+	stateBad bool // the last catch-up failed
+	pinging  bool
+	pingAt   model.Micros // when siblings were last asked
+	pingedAt model.Micros // when they last answered
+	alive    int          // siblings that answered
+	helpers  []string     // siblings that reach the state service
+
 	leading *leadership
 }
 
@@ -116,7 +123,12 @@
 	case msgWithdraw:
 		c.withdraw(m)
 	case msgUp:
-		m.reply <- c.loaded && c.now-c.syncOK < 3*model.Second
+		m.reply <- c.healthy()
+	case msgReached:
+		m.reply <- c.loaded && !c.suspect()
+	case msgPinged:
+		c.pinging, c.pingedAt = false, c.now
+		c.alive, c.helpers = m.alive, m.helpers
 	case msgCheckin:
 		c.checkin(m)
 	case msgSession:
@@ -142,6 +154,7 @@
 func (c *controller) step() {
 	c.now = c.clock()
 	c.startSync()
+	c.startPing()
 	c.elect()
 	c.pumpUsers()
 	if c.leading != nil {
@@ -251,6 +264,7 @@
 	c.syncing = false
 	waiters := c.inSync
 	c.inSync = nil
+	c.stateBad = m.err != nil && !errors.Is(m.err, state.ErrTooOld) && !errors.Is(m.err, state.ErrBusy)
 	if m.err != nil {
 		slog.Debug("sync", "err", m.err)
 		if errors.Is(m.err, state.ErrTooOld) {
@@ -315,6 +329,45 @@
 	return strings.Cut(rest, "/")
 }
 
+// --- when the state service is not reached
+
+// suspect tells that the state service may not be reached: the last catch-up
+// failed, or the present one takes long.
+func (c *controller) suspect() bool {
+	return c.stateBad || c.syncing && c.now-c.syncAt > 300*model.Millisecond
+}
+
+// startPing asks the siblings whether they reach the state service, as long as
+// this controller may not.
+func (c *controller) startPing() {
+	if c.pinging || !c.suspect() || len(c.set.Siblings) == 0 || c.pingAt != 0 && c.now-c.pingAt < 500*model.Millisecond {
+		return
+	}
+	c.pinging, c.pingAt = true, c.now
+	c.io.ping()
+}
+
+const pingFresh = 2 * model.Second
+
+// healthy tells whether users are to be sent here. A controller that is cut off
+// alone can have siblings answer. When no controller reaches the state service,
+// leaving the load balancer would only delay the return.
+func (c *controller) healthy() bool {
+	if !c.loaded {
+		return false
+	}
+	return c.now-c.syncOK < 3*model.Second || c.alive > 0 && c.now-c.pingedAt < pingFresh
+}
+
+// unreached is the answer to a user when the state service is not reached.
+func (c *controller) unreached() userapi.Answer {
+	a := userapi.Error(503, "state not reachable", 1)
+	if len(c.helpers) > 0 && c.now-c.pingedAt < pingFresh {
+		a.Helper = c.helpers[int(c.now)%len(c.helpers)]
+	}
+	return a
+}
+
 // --- users
 
 func (c *controller) poll(m msgPoll) {
@@ -323,9 +376,13 @@
 		m.reply <- c.pollAnswer(m.ref, end)
 		return
 	}
+	if c.stateBad {
+		m.reply <- c.unreached()
+		return
+	}
 	c.afterSync(func(ok bool) {
 		if !ok {
-			m.reply <- userapi.Error(503, "state not reachable", 1)
+			m.reply <- c.unreached()
 			return
 		}
 		m.reply <- c.pollAnswer(m.ref, "")
@@ -345,14 +402,19 @@
 func (c *controller) maxUserQueue() int { return max(16, int(c.set.Params.State.WriteRPS)) }
 
 func (c *controller) submit(m msgSubmit) {
-	if status, _, _, known := c.view.Status(m.ref); known {
-		if _, ended := c.view.Final(m.ref); ended {
-			m.reply <- userapi.Accepted(200, m.ref, status)
-			return
-		}
+	status, _, _, known := c.view.Status(m.ref)
+	if _, ended := c.view.Final(m.ref); ended {
+		m.reply <- userapi.Accepted(200, m.ref, status)
+		return
+	}
+	if c.stateBad {
+		m.reply <- c.unreached()
+		return
+	}
+	if known {
 		c.afterSync(func(ok bool) {
 			if !ok {
-				m.reply <- userapi.Error(503, "state not reachable", 1)
+				m.reply <- c.unreached()
 				return
 			}
 			status, _, _, _ := c.view.Status(m.ref)
@@ -391,7 +453,7 @@
 func (c *controller) refuseUnknown(m msgSubmit, code int, why string) {
 	c.afterSync(func(ok bool) {
 		if !ok {
-			m.reply <- userapi.Error(503, "state not reachable", 1)
+			m.reply <- c.unreached()
 			return
 		}
 		if status, _, _, known := c.view.Status(m.ref); known {
@@ -407,9 +469,13 @@
 		m.reply <- userapi.Accepted(200, m.ref, end)
 		return
 	}
+	if c.stateBad {
+		m.reply <- c.unreached()
+		return
+	}
 	c.afterSync(func(ok bool) {
 		if !ok {
-			m.reply <- userapi.Error(503, "state not reachable", 1)
+			m.reply <- c.unreached()
 			return
 		}
 		if end, ok := c.view.Final(m.ref); ok {
@@ -538,7 +604,7 @@
 				_, ended := c.view.Final(u.ref)
 				switch {
 				case !ok:
-					u.answer(userapi.Error(503, "state not reachable", 1))
+					u.answer(c.unreached())
 				case known && (u.sub != nil || ended):
 					u.answer(userapi.Accepted(200, u.ref, status))
 				default:
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -7,6 +7,7 @@
 	"woadweir/internal/cloud"
 	"woadweir/internal/core/block"
 	"woadweir/internal/core/model"
+	"woadweir/internal/peer"
 	"woadweir/internal/state"
 )
 
@@ -19,6 +20,7 @@
 	list()
 	rent(m msgRented)
 	remove(refs []string, term uint64)
+	ping()
 }
 
 // inputOutput carries the effects out, each in a goroutine of its own.
@@ -27,6 +29,8 @@
 	clock Clock
 	state *state.Client
 	cloud *cloud.Client
+	peers []*peer.Client
+	name  string
 	ctx   context.Context
 }
 
@@ -38,9 +42,10 @@
 }
 
 const (
-	syncPatience   = 1500 * model.Millisecond
-	commitPatience = 2500 * model.Millisecond
+	syncPatience   = 800 * model.Millisecond
+	commitPatience = 1500 * model.Millisecond
 	cloudPatience  = 5 * model.Second
+	pingPatience   = 400 * model.Millisecond
 )
 
 func (io *inputOutput) sync(from uint64, list bool) {
@@ -101,6 +106,35 @@
 	go func() { io.send(msgDeleted{refs, io.cloud.Delete(refs, cloudPatience), term}) }()
 }
 
+func (io *inputOutput) ping() {
+	go func() {
+		ctx, cancel := context.WithTimeout(io.ctx, pingPatience.Duration())
+		defer cancel()
+		type result struct {
+			name           string
+			alive, reached bool
+		}
+		results := make(chan result, len(io.peers))
+		for _, p := range io.peers {
+			go func() {
+				reached, err := p.Ping(ctx, io.name)
+				results <- result{p.Name, err == nil, reached}
+			}()
+		}
+		var m msgPinged
+		for range io.peers {
+			r := <-results
+			if r.alive {
+				m.alive++
+			}
+			if r.reached {
+				m.helpers = append(m.helpers, r.name)
+			}
+		}
+		io.send(m)
+	}()
+}
+
 // holderTxn makes a holder's transaction: it is guarded by the grant, and every
 // key by the version of it that we know, so that a copy that is carried out
 // late changes nothing.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -79,6 +79,14 @@
 		term uint64
 	}
 	msgTick struct{}
+	// msgPinged tells which siblings answer, and which of them reach the state
+	// service.
+	msgPinged struct {
+		alive   int
+		helpers []string
+	}
+	// msgReached asks whether the state service is reached.
+	msgReached struct{ reply chan<- bool }
 )
 
 // workerAnswer is a response to a worker.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"woadweir/internal/core/block"
 	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
+	"woadweir/internal/peer"
 	"woadweir/internal/state"
 	"woadweir/internal/userapi"
 	"woadweir/internal/workerapi"
@@ -46,13 +47,27 @@
 	g, ctx := errgroup.WithContext(ctx)
 	mail := make(chan any, 4096)
 	st := state.NewClient(set.Services.State)
-	io := &inputOutput{mail: mail, clock: clock, state: st, cloud: cloud.NewClient(set.Services.Cloud), ctx: ctx}
+	var peers []*peer.Client
+	for _, s := range set.Siblings {
+		p, err := peer.Dial(s.NodeName, s.Endpoint)
+		if err != nil {
+			return err
+		}
+		peers = append(peers, p)
+	}
+	back, err := net.Listen("tcp4", set.Back)
+	if err != nil {
+		return err
+	}
+	f := &front{mail: mail, peers: peers, ctx: ctx}
+	g.Go(func() error { return peer.Serve(ctx, back, f) })
+	io := &inputOutput{mail: mail, clock: clock, state: st, cloud: cloud.NewClient(set.Services.Cloud), peers: peers, name: set.NodeName, ctx: ctx}
 	c := newController(set, op, spans, clock, io)
 	g.Go(func() error { return c.run(ctx, mail) })
 	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL}
 	g.Go(func() error { return ses.run(ctx) })
 	g.Go(func() error { return tick(ctx, mail) })
-	srv := &fasthttp.Server{Handler: handler(mail), Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
+	srv := &fasthttp.Server{Handler: f.serve, Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
 		ReadBufferSize: 4096, IdleTimeout: 2 * time.Minute, ReadTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second,
 		Logger: quiet{}, NoDefaultContentType: true, DisablePreParseMultipartForm: true}
 	if n := set.Params.Quota.FDLimit; n > 0 {
@@ -95,50 +110,77 @@
 	patienceUp     = 900 * time.Millisecond
 )
 
-// handler turns requests into messages and answers into responses.
-func handler(mail chan<- any) fasthttp.RequestHandler {
-	return func(rc *fasthttp.RequestCtx) {
-		method, path := string(rc.Method()), string(rc.Path())
-		rc.SetContentType("application/json")
-		if path == "/checkin" && method == "POST" {
-			checkin(rc, mail)
-			return
+// front turns requests into messages and answers into responses.
+type front struct {
+	mail  chan<- any
+	peers []*peer.Client
+	ctx   context.Context
+}
+
+func (f *front) serve(rc *fasthttp.RequestCtx) {
+	method, path := string(rc.Method()), string(rc.Path())
+	rc.SetContentType("application/json")
+	if path == "/checkin" && method == "POST" {
+		checkin(rc, f.mail)
+		return
+	}
+	a := f.User(method, path, rc.PostBody())
+	if a.Helper != "" {
+		a = f.forward(a, method, path, rc.PostBody())
+	}
+	answer(rc, a)
+}
+
+const patienceForward = 1200 * time.Millisecond
+
+// forward has a sibling answer; without its answer, ours stands.
+func (f *front) forward(a userapi.Answer, method, path string, body []byte) userapi.Answer {
+	for _, p := range f.peers {
+		if p.Name != a.Helper {
+			continue
 		}
-		route, ref := userapi.Parse(method, path)
-		switch route {
-		case userapi.Up:
-			reply := make(chan bool, 1)
-			if ok, got := ask(mail, msgUp{reply}, reply, patienceUp); !got || !ok {
-				answer(rc, userapi.Error(503, "not ready", 1))
-				return
-			}
-			answer(rc, userapi.Answer{Code: 200, Body: []byte("{}")})
-		case userapi.Submit:
-			sub, ref, err := model.ParseSubmission(rc.PostBody())
-			if err != nil && ref == "" {
-				answer(rc, userapi.Error(400, err.Error(), 0))
-				return
-			}
-			reply := make(chan userapi.Answer, 1)
-			askUser(rc, mail, msgSubmit{ref, sub, err, reply}, reply, patienceUser)
-		case userapi.Poll:
-			if !model.ValidRef(ref) {
-				answer(rc, userapi.Error(404, "no such job", 0))
-				return
-			}
-			reply := make(chan userapi.Answer, 1)
-			askUser(rc, mail, msgPoll{ref, reply}, reply, patiencePoll)
-		case userapi.Withdraw:
-			if !model.ValidRef(ref) {
-				answer(rc, userapi.Error(404, "no such job", 0))
-				return
-			}
-			reply := make(chan userapi.Answer, 1)
-			askUser(rc, mail, msgWithdraw{ref, reply}, reply, patienceUser)
-		default:
-			answer(rc, userapi.Error(404, "no such page", 0))
+		ctx, cancel := context.WithTimeout(f.ctx, patienceForward)
+		defer cancel()
+		if b, err := p.Forward(ctx, method, path, body); err == nil {
+			return b
 		}
 	}
+	return a
+}
+
+// StateReached answers a sibling's ping.
+func (f *front) StateReached() bool {
+	reply := make(chan bool, 1)
+	ok, got := ask(f.mail, msgReached{reply}, reply, patienceUp)
+	return ok && got
+}
+
+// User answers a user's request by what this controller itself knows.
+func (f *front) User(method, path string, body []byte) userapi.Answer {
+	route, ref := userapi.Parse(method, path)
+	if (route == userapi.Poll || route == userapi.Withdraw) && !model.ValidRef(ref) {
+		return userapi.Error(404, "no such job", 0)
+	}
+	reply := make(chan userapi.Answer, 1)
+	switch route {
+	case userapi.Up:
+		up := make(chan bool, 1)
+		if ok, got := ask(f.mail, msgUp{up}, up, patienceUp); !got || !ok {
+			return userapi.Error(503, "not ready", 1)
+		}
+		return userapi.Answer{Code: 200, Body: []byte("{}")}
+	case userapi.Submit:
+		sub, ref, err := model.ParseSubmission(body)
+		if err != nil && ref == "" {
+			return userapi.Error(400, err.Error(), 0)
+		}
+		return askUser(f.mail, msgSubmit{ref, sub, err, reply}, reply, patienceUser)
+	case userapi.Poll:
+		return askUser(f.mail, msgPoll{ref, reply}, reply, patiencePoll)
+	case userapi.Withdraw:
+		return askUser(f.mail, msgWithdraw{ref, reply}, reply, patienceUser)
+	}
+	return userapi.Error(404, "no such page", 0)
 }
 
 func checkin(rc *fasthttp.RequestCtx, mail chan<- any) {
@@ -175,12 +217,12 @@
 	}
 }
 
-func askUser(rc *fasthttp.RequestCtx, mail chan<- any, msg any, reply <-chan userapi.Answer, patience time.Duration) {
+func askUser(mail chan<- any, msg any, reply <-chan userapi.Answer, patience time.Duration) userapi.Answer {
 	a, got := ask(mail, msg, reply, patience)
 	if !got {
-		a = userapi.Error(503, "try again", 1)
+		return userapi.Error(503, "try again", 1)
 	}
-	answer(rc, a)
+	return a
 }
 
 func answer(rc *fasthttp.RequestCtx, a userapi.Answer) {
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -73,7 +73,7 @@
 }
 
 func simSettings(name string) *config.Settings {
-	s := &config.Settings{NodeName: name, ServeOn: "10.0.0.1:8080"}
+	s := &config.Settings{NodeName: name, ServeOn: "10.0.0.1:8080", Siblings: make([]config.Sibling, 2)}
 	s.Params.Teams = []config.Team{{Name: "red", CPUs: 20, CPUsMax: 40, GPUs: 4, GPUsMax: 8}, {Name: "blue", CPUs: 20, CPUsMax: 30, GPUs: 0, GPUsMax: 4}}
 	p := &s.Params
 	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.GangWaitS, p.Workers.GangPeerS, p.Workers.CancelS = 2.5, 18, 30, 5, 38
@@ -349,6 +349,25 @@
 	n.cloudCall(func() any { return msgDeleted{refs, n.w.cloud.Delete(refs), term} })
 }
 
+func (n *simNode) ping() {
+	life := n.life
+	n.w.After(2*model.Millisecond, func() {
+		var m msgPinged
+		for _, o := range n.w.nodes {
+			if o == n || !o.alive {
+				continue
+			}
+			m.alive++
+			reply := make(chan bool, 1)
+			o.ask(msgReached{reply}, nil)
+			if <-reply {
+				m.helpers = append(m.helpers, o.name)
+			}
+		}
+		n.deliver(life, m)
+	})
+}
+
 // --- users
 
 // user submits a job with retries, polls until its end, and may cancel it.
@@ -382,8 +401,8 @@
 		}
 	}
 	w.After(patience, func() { give(userapi.Answer{}) })
-	n := w.nodes[w.Rng.IntN(len(w.nodes))]
-	w.After(model.Millisecond, func() {
+	var send func(n *simNode, forwarded bool)
+	send = func(n *simNode, forwarded bool) {
 		if !n.alive {
 			return
 		}
@@ -391,13 +410,21 @@
 		n.ask(msg(reply), func() bool {
 			select {
 			case a := <-reply:
-				w.After(model.Millisecond, func() { give(a) })
+				w.After(model.Millisecond, func() {
+					if a.Helper != "" && !forwarded {
+						send(w.nodes[slices.Index(w.Nodes(), a.Helper)], true)
+						return
+					}
+					give(a)
+				})
 				return true
 			default:
 				return false
 			}
 		})
-	})
+	}
+	n := w.nodes[w.Rng.IntN(len(w.nodes))]
+	w.After(model.Millisecond, func() { send(n, false) })
 }
 
 func (u *user) post() {
--- a/internal/userapi/userapi.go
+++ b/internal/userapi/userapi.go
@@ -11,6 +11,9 @@
 	Code       int
 	Body       []byte
 	RetryAfter int // seconds, 0: no header
+	// Helper names another controller that can answer instead, when this one
+	// does not reach the state service.
+	Helper string
 }
 
 // Error renders a failure.
@@ -19,7 +22,7 @@
 	if err != nil {
 		panic(err)
 	}
-	return Answer{code, b, retryAfter}
+	return Answer{Code: code, Body: b, RetryAfter: retryAfter}
 }
 
 // Accepted renders the state of a job in answer to a submission.
