--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"math"
 	"net/netip"
 	"os"
+	"slices"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -193,6 +194,21 @@
 	return m
 }
 
+// Finish gives, by class, the times within which its jobs are to be done,
+// ascending.
+func (s *Settings) Finish() map[string][]model.Micros {
+	m := map[string][]model.Micros{}
+	for _, o := range s.Params.Objectives {
+		if o.Kind == "finished" && o.Class != "" && o.WithinS > 0 {
+			m[o.Class] = append(m[o.Class], model.Seconds(o.WithinS))
+		}
+	}
+	for _, l := range m {
+		slices.Sort(l)
+	}
+	return m
+}
+
 // Operator is the operators' own file.
 type Operator struct {
 	XMLName           xml.Name `xml:"woadweir"`
--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -19,8 +19,9 @@
 	Lease    model.Micros
 	GangWait model.Micros
 	GangPeer model.Micros
-	Waits    map[string]model.Micros // by class: the time within which its tasks are to start
-	Margin   model.Micros            // added where the end of another's lease is waited for
+	Waits    map[string]model.Micros   // by class: the time within which its tasks are to start
+	Finish   map[string][]model.Micros // by class: the times within which its jobs are to be done, ascending
+	Margin   model.Micros              // added where the end of another's lease is waited for
 }
 
 // Piece is a task in a report.
@@ -99,12 +100,13 @@
 	return h.Token<<20 + h.seq
 }
 
-// AddJob makes an accepted job known, with the tasks that are already done.
-func (h *Holder) AddJob(j *model.Job, done model.Set, ended string, now model.Micros) *model.JobState {
+// AddJob makes a job known that was accepted age ago, with the tasks that are
+// already done.
+func (h *Holder) AddJob(j *model.Job, done model.Set, ended string, now, age model.Micros) *model.JobState {
 	if js := h.Jobs[j.Ref]; js != nil {
 		return js
 	}
-	js := &model.JobState{Job: j, Done: done, Ended: ended, Bound: map[int][]*model.Bound{}, SeenAt: now}
+	js := &model.JobState{Job: j, Done: done, Ended: ended, Bound: map[int][]*model.Bound{}, SeenAt: now - age}
 	if ended == "" {
 		js.Waiting = make([]int, 0, j.Pieces-done.Len())
 		for i := range j.Pieces {
@@ -616,6 +618,7 @@
 		}
 		return 60 * model.Second
 	}
+	w.Due = func(j *model.JobState) model.Micros { return h.due(j, now) }
 	w.Bind = func(j *model.JobState, n int, m *model.Host, try uint64) { h.bind(j, n, m, try, now) }
 	return w
 }
--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -42,3 +42,28 @@
 	// The longer it has run beyond what was expected, the longer it may go on.
 	return max(e-ran, ran/4)
 }
+
+// never is later than any time.
+const never = model.Micros(1) << 60
+
+// due is by when the job is to be done to count as in time: the first of its
+// deadline and its class's aims that can still be met. What can't be in time
+// any more is due after all else; what is to start soon goes by age.
+func (h *Holder) due(j *model.JobState, now model.Micros) model.Micros {
+	if _, ok := h.P.Waits[j.Class]; ok {
+		return j.SeenAt
+	}
+	end := now + h.Expected(j.Job)*9/10
+	if j.Due > 0 {
+		if at := j.SeenAt + j.Due; end <= at {
+			return at
+		}
+		return never + j.SeenAt
+	}
+	for _, f := range h.P.Finish[j.Class] {
+		if at := j.SeenAt + f; end <= at {
+			return at
+		}
+	}
+	return never + j.SeenAt
+}
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -24,6 +24,9 @@
 	NextTry func() uint64
 	Bind    func(j *model.JobState, n int, h *model.Host, try uint64)
 	Flavors map[string]*model.Flavor
+	// Due is by when a job is to be done to be in time; a job that can't be in
+	// time any more, or needn't be, is due late.
+	Due func(j *model.JobState) model.Micros
 	// Stop asks for a bound piece to be stopped, to make room.
 	Stop func(b *model.Bound, why string)
 	// Patience is how long a job may wait before work of lower rank is stopped
@@ -40,11 +43,18 @@
 }
 
 // Sort puts jobs into the order in which they are served: rank, then what is
-// within its team's guarantee, then age.
-func Sort(jobs []*model.JobState, teams map[string]*model.Team) {
-	slices.SortFunc(jobs, func(a, b *model.JobState) int { return cmp.Compare(a.Order, b.Order) })
-	within := Guaranteed(jobs, teams)
-	slices.SortStableFunc(jobs, func(a, b *model.JobState) int {
+// within its team's guarantee, then what is due first of all that can still be
+// in time, then age.
+func (w *World) Sort() {
+	slices.SortFunc(w.Jobs, func(a, b *model.JobState) int { return cmp.Compare(a.Order, b.Order) })
+	within := Guaranteed(w.Jobs, w.Teams)
+	due := make(map[*model.JobState]model.Micros, len(w.Jobs))
+	if w.Due != nil {
+		for _, j := range w.Jobs {
+			due[j] = w.Due(j)
+		}
+	}
+	slices.SortStableFunc(w.Jobs, func(a, b *model.JobState) int {
 		if c := cmp.Compare(b.Rank, a.Rank); c != 0 {
 			return c
 		}
@@ -55,7 +65,7 @@
 			}
 			return 1
 		}
-		return 0
+		return cmp.Compare(due[a], due[b])
 	})
 }
 
@@ -220,7 +230,7 @@
 
 // Round places what it can and calls Bind for each decision.
 func (w *World) Round() {
-	Sort(w.Jobs, w.Teams)
+	w.Sort()
 	w.kept = map[*model.Host]model.Need{}
 	w.spare()
 	for _, j := range w.Jobs {
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -9,7 +9,6 @@
 	"woadweir/internal/cloud"
 	"woadweir/internal/core/block"
 	"woadweir/internal/core/model"
-	"woadweir/internal/core/place"
 	"woadweir/internal/core/slack"
 	"woadweir/internal/state"
 	"woadweir/internal/workerapi"
@@ -68,7 +67,7 @@
 	c := l.c
 	w := c.set.Params.Workers
 	l.h = block.New(block.Params{Teams: c.teams, Report: model.Seconds(w.ReportS), Lease: model.Seconds(w.LeaseS),
-		GangWait: model.Seconds(w.GangWaitS), GangPeer: model.Seconds(w.GangPeerS), Margin: model.Second, Waits: c.set.Waits()}, l.token)
+		GangWait: model.Seconds(w.GangWaitS), GangPeer: model.Seconds(w.GangPeerS), Margin: model.Second, Waits: c.set.Waits(), Finish: c.set.Finish()}, l.token)
 	l.h.Log = logEvent
 	l.h.SetFlavors(c.view.Flavors)
 	for ref := range c.view.Jobs {
@@ -117,7 +116,8 @@
 	if j.Sub == nil {
 		return
 	}
-	l.h.AddJob(j.Sub.Job(j.SpecStamp), model.SetOf(j.Done), j.End, l.c.now)
+	age := model.Micros(max(0, l.c.wall()-j.Sub.AtMs)) * model.Millisecond
+	l.h.AddJob(j.Sub.Job(j.SpecStamp), model.SetOf(j.Done), j.End, l.c.now, age)
 	l.loopSoon = true
 }
 
@@ -469,7 +469,7 @@
 		return
 	}
 	w := l.h.World(c.now)
-	place.Sort(w.Jobs, w.Teams)
+	w.Sort()
 	in := &slack.Input{Now: c.now, Hosts: w.Hosts, Flavors: l.h.Flavors, CloudOK: l.cloudOK()}
 	for hire, r := range l.renting {
 		for k := range r.Count {
