Let arrays fill GPU machines that are there, but keep none for them

Change: arrays may use what wanted GPUs do not need; wanted counts only tasks that their team's limit lets start.

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -592,7 +592,12 @@
 			n := len(j.Waiting) + j.BoundCount()
 			gpus += g * model.Milli(n)
 			beside = beside.Plus(j.Need.Times(n))
-			wanted[j.Owner] += g * model.Milli(len(j.Waiting))
+			if t := h.P.Teams[j.Owner]; t != nil {
+				room := t.Max.Minus(h.Used[j.Owner])
+				need := j.Need
+				need.Mem = 0
+				wanted[j.Owner] += g * model.Milli(need.Count(room, len(j.Waiting)))
+			}
 		}
 	}
 	if gpus > 0 {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -115,10 +115,6 @@
 	if j.Need.GPUs > 0 || w.pressed(j) {
 		return free
 	}
-	if h.Size.GPUs > 0 && j.Rank < model.Urgent && h.Used.GPUs*2 < h.Size.GPUs {
-		// It would keep a GPU machine in pay for work that needs none.
-		return model.Need{}
-	}
 	return free.Minus(w.reserve[h])
 }
 
--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -227,7 +227,7 @@
 // suits tells whether a machine is for such work: one without GPUs alone must
 // not keep a GPU machine in pay, unless it is urgent.
 func suits(j *model.JobState, s *slot) bool {
-	return s.size.GPUs == 0 || j.Need.GPUs > 0 || j.Rank >= model.Urgent || s.h != nil && s.h.Used.GPUs*2 >= s.size.GPUs
+	return s.size.GPUs == 0 || j.Need.GPUs > 0 || j.Rank >= model.Urgent || s.h != nil && s.h.Used.GPUs > 0
 }
 
 // seek puts placeholders into rooms and returns those that found none.
