Tests of the safety argument, point by point

Also: an end of an attempt that is reported under an older token is no proof that the attempt is gone: it may be a late copy from before the attempt was started again. The next report, under our token, tells.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,122 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"woadweir/internal/core/model"
+)
+
+const good = `
+node_name = "n0"
+area = "z"
+serve_on = "10.0.0.1:8080"
+back = "10.0.0.1:8081"
+unheard_of = 3
+
+[[siblings]]
+node_name = "n1"
+area = "z"
+endpoint = "10.0.0.2:8081"
+
+[services]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+
+[params]
+clock_error_ms = 100.0
+[[params.teams]]
+name = "red"
+cpus = 64.0
+cpus_max = 136.0
+[[params.objectives]]
+kind = "wait"
+class = "c"
+within_s = 18.0
+[[params.objectives]]
+kind = "wait"
+class = "c"
+within_s = 8.0
+[[params.objectives]]
+kind = "finished"
+class = "d"
+within_s = 150.0
+[params.workers]
+report_s = 2.5
+lease_s = 18.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 38.0
+[params.state]
+rps = 120.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 24
+[params.cloud]
+rps = 8.0
+list_lag_s = 5.0
+[params.quota]
+cores = 0.18
+ram_mb = 98.0
+fd_limit = 1500
+`
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if tm := s.Teams()["red"]; tm.Max.Cores != 136_000 || tm.Max.GPUs != 0 || tm.Guaranteed.Cores != 64_000 {
+		t.Errorf("team %+v", tm)
+	}
+	if w := s.Waits()["c"]; w != 8*model.Second {
+		t.Errorf("waits %v", w)
+	}
+	if f := s.Finish()["d"]; len(f) != 1 || f[0] != 150*model.Second {
+		t.Errorf("finish %v", f)
+	}
+}
+
+func TestBadSettingsNameTheField(t *testing.T) {
+	for old, c := range map[string][2]string{
+		`serve_on = "10.0.0.1:8080"`: {`serve_on = "here"`, "serve_on"},
+		`state = "10.2.0.1:2379"`:    {``, "services.state"},
+		`lease_s = 18.0`:             {`lease_s = 0.0`, "params.workers.lease_s"},
+		`txn_ops = 24`:               {`txn_ops = 1`, "params.state.txn_ops"},
+		`cpus_max = 136.0`:           {`cpus_max = -1.0`, "params.teams[0].cpus_max"},
+		`node_name = "n1"`:           {``, "siblings[0].node_name"},
+		`report_s = 2.5`:             {`report_s = "often"`, "report_s"},
+	} {
+		_, err := Parse([]byte(strings.Replace(good, old, c[0], 1)))
+		if err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%s instead of %s: %v, want the field %s named", c[0], old, err, c[1])
+		}
+	}
+}
+
+func TestOperatorFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operator.xml")
+	write := func(body string) {
+		if err := os.WriteFile(path, []byte(body), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(`<woadweir><extra-capacity-rate>0.2</extra-capacity-rate></woadweir>`)
+	o, err := LoadOperator(path)
+	if err != nil || o.ExtraCapacityRate != 0.2 || o.Granularity != 5 {
+		t.Errorf("%+v, %v", o, err)
+	}
+	write(`<woadweir><granularity>0</granularity></woadweir>`)
+	if _, err := LoadOperator(path); err == nil || !strings.Contains(err.Error(), "granularity") {
+		t.Errorf("out of bounds: %v", err)
+	}
+	write(`<other/>`)
+	if _, err := LoadOperator(path); err == nil {
+		t.Error("another document is taken")
+	}
+	if o, err := LoadOperator(""); err != nil || o.LoopPeriodS != 10 {
+		t.Errorf("defaults: %+v, %v", o, err)
+	}
+}
--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -354,6 +354,14 @@
 	if p.Status != model.Ended {
 		return
 	}
+	if m.Warrant != h.Token {
+		// The report may be an old copy: the same attempt may have been started
+		// again since. A completion is a fact all the same.
+		if p.Cause == "done" {
+			h.complete(p.ID, b, now)
+		}
+		return
+	}
 	js := h.Jobs[b.ID.Job]
 	switch p.Cause {
 	case "done":
--- /dev/null
+++ b/internal/core/block/block_test.go
@@ -0,0 +1,437 @@
+package block
+
+import (
+	"testing"
+
+	"woadweir/internal/core/model"
+)
+
+const sec = model.Second
+
+func newHolder(token uint64) *Holder {
+	h := New(Params{
+		Teams: map[string]*model.Team{
+			"red":  {Name: "red", Guaranteed: model.Need{Cores: 8000}, Max: model.Need{Cores: 8000}},
+			"blue": {Name: "blue", Max: model.Need{Cores: 100_000, GPUs: 8000}},
+		},
+		Report: 5 * sec / 2, Lease: 18 * sec, GangWait: 30 * sec, GangPeer: 5 * sec, Margin: sec,
+	}, token)
+	h.SetFlavors([]model.Flavor{
+		{Label: "box", Cores: 4, MemoryGB: 16, CacheGB: 50, FetchGBps: 1, Price: 1, LowPrice: 0.5, BootS: 10, Yards: []string{"a", "b"}},
+		{Label: "gpu", Cores: 8, GPUs: 2, MemoryGB: 32, CacheGB: 50, FetchGBps: 1, Price: 9, LowPrice: 4, BootS: 10, Yards: []string{"a", "b"}}})
+	return h
+}
+
+func job(ref string, pieces int, shape model.Shape) *model.Job {
+	return &model.Job{Ref: ref, Class: "c", Owner: "red", Shape: shape, Rank: model.Standard, Pieces: pieces,
+		Need: model.Need{Cores: 1000, Mem: 1000}, Image: "i", ImageGB: 1, Guess: 10 * sec, Loaners: true}
+}
+
+// worker is a scripted worker: it says what it is told to say.
+type worker struct {
+	h     *Holder
+	r     Report
+	tally uint64
+}
+
+func newWorker(h *Holder, ref, build, yard string) *worker {
+	return &worker{h: h, r: Report{Host: ref, Build: build, Yard: yard, Tenure: 1}}
+}
+
+// says has the worker report these pieces, and returns the commands it gets.
+func (w *worker) says(now model.Micros, warrant uint64, ps ...Piece) (Verdict, []Order) {
+	w.tally++
+	r := w.r
+	r.Tally, r.Warrant, r.Pieces = w.tally, warrant, ps
+	v := w.h.Take(&r, now)
+	if v != Taken {
+		return v, nil
+	}
+	w.h.Place(now)
+	return v, w.h.Orders(&r, now)
+}
+
+// write makes everything that waits durable.
+func write(h *Holder, now model.Micros) (keys []string) {
+	for h.Queued() > 0 {
+		ws := h.Writes(16)
+		for _, w := range ws {
+			keys = append(keys, w.Key)
+		}
+		h.Committed(ws, now)
+	}
+	return keys
+}
+
+func verbs(orders []Order, verb string) (n int) {
+	for _, o := range orders {
+		if o.Verb == verb {
+			n++
+		}
+	}
+	return n
+}
+
+func bound(h *Holder, ref string) *model.Bound {
+	for _, b := range h.Hosts[ref].Bound {
+		return b
+	}
+	return nil
+}
+
+func TestStartOnlyOnceBindingIsDurable(t *testing.T) {
+	h := newHolder(5)
+	h.AddJob(job("j-1", 2, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	if _, orders := w.says(sec, 5); len(h.Hosts["h1"].Bound) != 2 || verbs(orders, "start") != 0 {
+		t.Fatalf("%d bound, orders %v: want 2 bound, none started", len(h.Hosts["h1"].Bound), orders)
+	}
+	write(h, sec)
+	if _, orders := w.says(2*sec, 5); verbs(orders, "start") != 2 {
+		t.Fatalf("orders %v, want two starts", orders)
+	}
+}
+
+func TestUnbindNeedsNewerReportUnderOurToken(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	m := h.AddHost("h1", "box", "a", false, 0)
+	h.Restore(js, 0, 77, m) // bound by an earlier holder
+	id := model.PieceID{Job: "j-1"}
+	// The old holder's start may still be on its way.
+	w.says(sec, 4)
+	if bound(h, "h1") == nil {
+		t.Fatal("unbound by a report under an older token that lacks the piece")
+	}
+	// A late copy may tell of an end of the same attempt before it ran again.
+	w.says(2*sec, 4, Piece{ID: id, Try: 77, Status: model.Ended, Cause: "stopped"})
+	if bound(h, "h1") == nil {
+		t.Fatal("unbound by an end reported under an older token")
+	}
+	w.says(3*sec, 5, Piece{ID: id, Try: 77, Status: model.Running})
+	w.says(4*sec, 5)
+	if b := bound(h, "h1"); b != nil && b.Try == 77 {
+		t.Fatal("still bound after a newer report under our token without it")
+	}
+}
+
+func TestLateReportMovesNothingBack(t *testing.T) {
+	h := newHolder(5)
+	h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	w.says(2*sec, 5)
+	b := bound(h, "h1")
+	w.says(3*sec, 5, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
+	late := w.r
+	late.Tally, late.Warrant = 2, 5
+	if v := h.Take(&late, 4*sec); v != Stale {
+		t.Fatalf("verdict %v for a late copy", v)
+	}
+	if bound(h, "h1") != b {
+		t.Fatal("a late copy unbound the piece")
+	}
+}
+
+func TestHigherTokenDeposes(t *testing.T) {
+	h := newHolder(5)
+	if v, _ := newWorker(h, "h1", "box", "a").says(sec, 6); v != Deposed {
+		t.Fatalf("verdict %v for a worker that knows a higher token", v)
+	}
+}
+
+// The worker's lease is counted from the last moment at which any entitled node
+// may have answered it; a listing or silence proves nothing.
+func TestLeaseProof(t *testing.T) {
+	h := newHolder(5)
+	h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	w.says(10*sec, 5)
+	h.Hosts["h1"].Failed = true
+	h.Tick(10*sec + 18*sec)
+	if bound(h, "h1") == nil {
+		t.Fatal("unbound before the lease is surely over")
+	}
+	h.Tick(10*sec + h.LeaseOver() + 1)
+	if bound(h, "h1") != nil {
+		t.Fatal("still bound after the lease")
+	}
+	if h.LeaseOver() <= 18*sec+18*sec/1000 {
+		t.Fatal("the lease is not stretched by drift")
+	}
+}
+
+// A new holder knows nothing of what the former answered, so it counts from its
+// own takeover.
+func TestLeaseProofAfterTakeover(t *testing.T) {
+	h := newHolder(9)
+	js := h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 100*sec, 0)
+	h.Restore(js, 0, 7, h.AddHost("h1", "box", "a", false, 100*sec))
+	h.Tick(100*sec + 18*sec)
+	if bound(h, "h1") == nil {
+		t.Fatal("unbound before the lease of a possible last answer is over")
+	}
+}
+
+func TestDeletionProof(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	h.HostGone("h1", "deleted", 2*sec)
+	if len(js.Waiting) != 1 || len(js.Bound) != 0 || h.Used["red"] != (model.Need{}) {
+		t.Fatalf("waiting %v, bound %v, used %v", js.Waiting, js.Bound, h.Used["red"])
+	}
+}
+
+// A worker forgets a finished task only once its completion is durable, and a
+// job is done only once its end is.
+func TestCompletionDurableBeforeClear(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 2, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	w.says(2*sec, 5)
+	b := js.Bound[0][0]
+	done := Piece{ID: b.ID, Try: b.Try, Status: model.Ended, Cause: "done"}
+	other := Piece{ID: js.Bound[1][0].ID, Try: js.Bound[1][0].Try, Status: model.Running}
+	if _, orders := w.says(3*sec, 5, done, other); verbs(orders, "clear") != 0 {
+		t.Fatal("cleared before the completion is durable")
+	}
+	write(h, 3*sec)
+	if _, orders := w.says(4*sec, 5, done, other); verbs(orders, "clear") != 1 {
+		t.Fatal("not cleared though the completion is durable")
+	}
+	other.Status, other.Cause = model.Ended, "done"
+	if _, orders := w.says(5*sec, 5, other); verbs(orders, "clear") != 0 || js.Ended != "" {
+		t.Fatal("ended before the end is durable")
+	}
+	write(h, 5*sec)
+	if js.Ended != "done" {
+		t.Fatal("the end was not written")
+	}
+}
+
+// A cancellation that was decided first stands, whatever finishes.
+func TestCancelAgainstCompletion(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	w.says(2*sec, 5)
+	b := bound(h, "h1")
+	w.says(3*sec, 5, Piece{ID: b.ID, Try: b.Try, Status: model.Ended, Cause: "done"})
+	h.EndJob("j-1", "withdrawn", 4*sec)
+	for _, x := range h.Writes(16) {
+		if x.Key == "job/j-1/end" {
+			t.Fatal("the end is to be written over a cancellation")
+		}
+	}
+	if js.Ended != "withdrawn" {
+		t.Fatalf("ended %q", js.Ended)
+	}
+}
+
+func TestCancelledJobIsStoppedAndNotStarted(t *testing.T) {
+	h := newHolder(5)
+	h.AddJob(job("j-1", 2, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	w.says(2*sec, 5)
+	b := bound(h, "h1")
+	h.EndJob("j-1", "withdrawn", 2*sec)
+	_, orders := w.says(3*sec, 5, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
+	if verbs(orders, "start") != 0 || verbs(orders, "stop") != 1 || orders[0].Leeway != 0 {
+		t.Fatalf("orders %v, want one stop without grace", orders)
+	}
+}
+
+// None of a gang starts before all its bindings are durable, and the next
+// attempt waits until the old one is wholly gone.
+func TestGangAttempts(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 2, model.Gang), model.Set{}, "", 0, 0)
+	js.Need.Cores = 3000 // one to a box
+	w1, w2 := newWorker(h, "h1", "box", "a"), newWorker(h, "h2", "box", "a")
+	if w1.says(sec, 5); len(js.Bound) != 0 {
+		t.Fatal("part of a gang was bound")
+	}
+	w2.says(sec, 5)
+	if len(js.Bound) != 2 || js.Bound[0][0].Try != js.Bound[1][0].Try {
+		t.Fatal("the gang is not bound under one attempt")
+	}
+	ws := h.Writes(1)
+	h.Committed(ws, sec)
+	_, o1 := w1.says(2*sec, 5)
+	_, o2 := w2.says(2*sec, 5)
+	if verbs(o1, "start")+verbs(o2, "start") != 0 {
+		t.Fatal("a task of a gang starts before all bindings are durable")
+	}
+	write(h, 2*sec)
+	w1.says(3*sec, 5)
+	w2.says(3*sec, 5)
+	b1, b2 := bound(h, "h1"), bound(h, "h2")
+	w1.says(4*sec, 5, Piece{ID: b1.ID, Try: b1.Try, Status: model.Running})
+	w2.says(4*sec, 5, Piece{ID: b2.ID, Try: b2.Try, Status: model.Running})
+	newWorker(h, "h3", "box", "a").says(4*sec, 5)
+	newWorker(h, "h4", "box", "a").says(4*sec, 5)
+	w1.says(5*sec, 5) // gone without a trace
+	_, o2 = w2.says(5*sec, 5, Piece{ID: b2.ID, Try: b2.Try, Status: model.Running})
+	if len(js.Bound) != 1 || verbs(o2, "stop") != 1 {
+		t.Fatalf("%d bound, orders %v: want the rest of the attempt stopped, and no new one", len(js.Bound), o2)
+	}
+	w2.says(6*sec, 5, Piece{ID: b2.ID, Try: b2.Try, Status: model.Ended, Cause: "stopped"})
+	if len(js.Bound) != 2 || js.Bound[0][0].Try == b1.Try {
+		t.Fatal("no new attempt after the old one is gone")
+	}
+}
+
+// The record of a piece's leaving is durable before, or together with, that of
+// its binding elsewhere.
+func TestUnbindIsWrittenBeforeRebind(t *testing.T) {
+	h := newHolder(5)
+	h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 0, 0)
+	w1 := newWorker(h, "h1", "box", "a")
+	w1.says(sec, 5)
+	write(h, sec)
+	w1.says(2*sec, 5)
+	b := bound(h, "h1")
+	newWorker(h, "h2", "box", "a").says(2*sec, 5)
+	h.Hosts["h1"].Leaving = true
+	w1.says(3*sec, 5, Piece{ID: b.ID, Try: b.Try, Status: model.Ended, Cause: "error"})
+	if bound(h, "h2") == nil {
+		t.Fatal("not bound elsewhere")
+	}
+	if keys := write(h, 3*sec); len(keys) < 2 || keys[0] != "host/h1" {
+		t.Fatalf("written in the order %v", keys)
+	}
+}
+
+// Writes that failed are written again, before later ones.
+func TestRetryKeepsOrder(t *testing.T) {
+	h := newHolder(5)
+	h.AddJob(job("j-1", 4, model.Sweep), model.Set{}, "", 0, 0)
+	newWorker(h, "h1", "box", "a").says(sec, 5)
+	ws := h.Writes(16)
+	h.AddJob(job("j-2", 4, model.Sweep), model.Set{}, "", 0, 0)
+	newWorker(h, "h2", "box", "a").says(sec, 5)
+	h.Retry(ws)
+	if keys := write(h, sec); len(keys) != 2 || keys[0] != "host/h1" || keys[1] != "host/h2" {
+		t.Fatalf("written in the order %v", keys)
+	}
+}
+
+func TestTeamLimitCountsAllBound(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 20, model.Sweep), model.Set{}, "", 0, 0)
+	for _, ref := range []string{"h1", "h2", "h3", "h4"} {
+		newWorker(h, ref, "box", "a").says(sec, 5)
+	}
+	if n := js.BoundCount(); n != 8 {
+		t.Fatalf("%d tasks bound, the team's limit is 8", n)
+	}
+}
+
+func TestPlaceRulesCountOldAttempts(t *testing.T) {
+	h := newHolder(5)
+	apart := job("j-1", 5, model.Sweep)
+	apart.Apart = true
+	js := h.AddJob(apart, model.Set{}, "", 0, 0)
+	newWorker(h, "h1", "gpu", "a").says(sec, 5)
+	if n := js.BoundCount(); n != 3 {
+		t.Fatalf("%d of 5 in one yard, want 3", n)
+	}
+	same := job("j-2", 3, model.Sweep)
+	same.SamePlace, same.Owner = true, "blue"
+	js2 := h.AddJob(same, model.Set{}, "", 0, 0)
+	h.Restore(js2, 0, 3, h.AddHost("h9", "box", "b", false, 0)) // an old attempt that is not surely gone
+	h.Place(2 * sec)
+	if n := js2.BoundCount(); n != 1 {
+		t.Fatal("placed in another yard than a task that may still be on its machine")
+	}
+}
+
+func TestAttemptsNeverRepeat(t *testing.T) {
+	a, b := newHolder(5), newHolder(6)
+	var last uint64
+	for range 1000 {
+		last = a.NextTry()
+	}
+	if first := b.NextTry(); first <= last {
+		t.Fatalf("attempt %d under a later grant, %d under the earlier", first, last)
+	}
+}
+
+// Two failures in a row set a machine aside; a job that fails everywhere spoils
+// no more machines.
+func TestFaultIsFoundOut(t *testing.T) {
+	h := newHolder(5)
+	j := job("j-1", 4, model.Sweep)
+	js := h.AddJob(j, model.Set{}, "", 0, 0)
+	fail := func(w *worker, now model.Micros) {
+		w.says(now, 5)
+		write(h, now)
+		w.says(now+sec, 5)
+		var ps []Piece
+		for _, b := range h.Hosts[w.r.Host].Bound {
+			ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Ended, Cause: "error"})
+		}
+		w.says(now+2*sec, 5, ps...)
+	}
+	fail(newWorker(h, "h1", "box", "a"), sec)
+	if !h.Hosts["h1"].Sick {
+		t.Fatal("a machine on which two tasks failed is not set aside")
+	}
+	fail(newWorker(h, "h2", "box", "a"), 10*sec)
+	h3 := newWorker(h, "h3", "box", "a")
+	fail(h3, 20*sec)
+	if js.NotBefore <= 22*sec || h.Hosts["h3"].Sick {
+		t.Fatalf("a job that failed on three machines: not before %v, third machine sick %v", js.NotBefore, h.Hosts["h3"].Sick)
+	}
+}
+
+// A queue of urgent work stops work of lower rank, and never work of its own.
+func TestPreemption(t *testing.T) {
+	h := newHolder(5)
+	h.P.Waits = map[string]model.Micros{"hot": 8 * sec}
+	low := job("j-1", 4, model.Sweep)
+	low.Rank, low.Owner = model.Idle, "blue"
+	h.AddJob(low, model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	w.says(2*sec, 5)
+	hot := job("j-2", 1, model.Gang)
+	hot.Rank, hot.Class = model.Urgent, "hot"
+	hot.Need.Cores = 2000
+	h.AddJob(hot, model.Set{}, "", 2*sec, 0)
+	var ps []Piece
+	for _, b := range h.Hosts["h1"].Bound {
+		ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
+	}
+	_, orders := w.says(4*sec, 5, ps...)
+	if n := verbs(orders, "stop"); n != 2 {
+		t.Fatalf("%d stopped to make room for two cores, orders %v", n, orders)
+	}
+	same := job("j-3", 1, model.Sweep)
+	same.Rank, same.Owner = model.Idle, "blue"
+	h.AddJob(same, model.Set{}, "", 4*sec, 0)
+	h.Place(200 * sec)
+	stops := 0
+	for _, b := range h.Hosts["h1"].Bound {
+		if b.Stop {
+			stops++
+		}
+	}
+	if stops != 2 {
+		t.Fatalf("%d stopped: work of the same rank was displaced", stops)
+	}
+}
--- /dev/null
+++ b/internal/core/slack/slack_test.go
@@ -0,0 +1,184 @@
+package slack
+
+import (
+	"testing"
+
+	"woadweir/internal/core/model"
+)
+
+const sec = model.Second
+
+var flavors = map[string]*model.Flavor{
+	"box": {Label: "box", Cores: 10, MemoryGB: 40, Price: 1, LowPrice: 0.3, BootS: 10, Yards: []string{"a", "b"}},
+	"gpu": {Label: "gpu", Cores: 20, GPUs: 4, MemoryGB: 80, Price: 12, LowPrice: 3, BootS: 20, Yards: []string{"a", "b"}},
+}
+
+func host(ref, build string, used model.Need) *model.Host {
+	h := &model.Host{Ref: ref, Build: build, Yard: "a", Size: flavors[build].Size(), Used: used, Up: true, Bound: map[model.PieceID]*model.Bound{}}
+	if !used.IsZero() {
+		h.Bound[model.PieceID{Job: "j-0"}] = &model.Bound{}
+	}
+	return h
+}
+
+func demand(n int, need model.Need, loaners bool) Demand {
+	return Demand{Job: &model.JobState{Job: &model.Job{Pieces: n, Need: need, Loaners: loaners}}, Count: n}
+}
+
+func input(now model.Micros, hosts ...*model.Host) *Input {
+	return &Input{Now: now, Hosts: hosts, Flavors: flavors, CloudOK: true}
+}
+
+func (l *Loop) where(big bool) (refs []string) {
+	for _, p := range l.holders {
+		if p.big == big {
+			refs = append(refs, p.host)
+		}
+	}
+	return refs
+}
+
+// Version 2 of the proposal, more complete idea: the largest task, each amount
+// taken alone, and the rest of the extra split evenly.
+func TestPlaceholderSizes(t *testing.T) {
+	l := New(Defaults())
+	var hosts []*model.Host
+	for _, ref := range []string{"h1", "h2", "h3", "h4"} {
+		hosts = append(hosts, host(ref, "box", model.Need{}))
+	}
+	in := input(0, hosts...)
+	in.Sizes = []model.Need{{Cores: 2000, Mem: 1000}, {Cores: 1000, Mem: 3000}}
+	l.Round(in)
+	var sum model.Need
+	n := 0
+	for _, p := range l.holders {
+		sum = sum.Plus(p.size)
+		if !p.big {
+			n++
+		} else if p.size != (model.Need{Cores: 2000, Mem: 3000}) {
+			t.Errorf("the largest placeholder is %v", p.size)
+		}
+	}
+	if n != 4*5 || sum.Cores != 4000 || sum.Mem != 16000 {
+		t.Errorf("%d small placeholders, %v in all, want 20 and a tenth of the fleet", n, sum)
+	}
+	in.Sizes = []model.Need{{Cores: 50_000, Mem: 500_000}}
+	l.Round(in)
+	if len(l.holders) != 1 || l.holders[0].size != (model.Need{Cores: 10_000, Mem: 40_000}) {
+		t.Errorf("%d placeholders, first %v: want one, cut to the biggest machine", len(l.holders), l.holders[0].size)
+	}
+}
+
+func TestPlaceholdersStayAndArePushed(t *testing.T) {
+	l := New(Defaults())
+	h1, h2 := host("h1", "box", model.Need{Cores: 6000}), host("h2", "box", model.Need{Cores: 1000})
+	in := input(0, h1, h2)
+	in.Sizes = []model.Need{{Cores: 3000, Mem: 1000}}
+	l.Round(in)
+	if got := l.where(true); len(got) != 1 || got[0] != "h1" {
+		t.Fatalf("the largest is at %v, want the fuller machine", got)
+	}
+	h2.Used = model.Need{Cores: 6500} // now h2 would be the better fit
+	l.Round(in)
+	if got := l.where(true); got[0] != "h1" {
+		t.Fatalf("the largest moved to %v without need", got)
+	}
+	h1.Used, h2.Used = model.Need{Cores: 9000}, model.Need{Cores: 2000}
+	l.Round(in)
+	if got := l.where(true); got[0] != "h2" {
+		t.Fatalf("the largest is at %v though real tasks pushed it out", got)
+	}
+}
+
+// Homeless placeholders and waiting tasks rent: the fewest machines of the
+// lowest price, one call per type and round; what is on its way counts.
+func TestRenting(t *testing.T) {
+	l := New(Defaults())
+	in := input(0)
+	in.Waiting = []Demand{demand(25, model.Need{Cores: 1000, Mem: 1000}, true)}
+	in.Sizes = []model.Need{{Cores: 1000, Mem: 1000}}
+	out := l.Round(in)
+	if len(out.Rent) != 1 || out.Rent[0] != (Rental{"box", "a", true, 3}) {
+		t.Fatalf("rents %+v, want three spot boxes in one call", out.Rent)
+	}
+	l.Refuse(Offer{"box", "a", true}, 0)
+	l.Refuse(Offer{"box", "b", true}, 0)
+	if out = l.Round(in); len(out.Rent) != 1 || out.Rent[0].Spot || out.Rent[0].Build != "box" {
+		t.Fatalf("rents %+v, want ordinary boxes after spot ones were refused", out.Rent)
+	}
+	for range 3 {
+		in.Hosts = append(in.Hosts, &model.Host{Ref: "~" + string(rune('a'+len(in.Hosts))), Build: "box", Yard: "a", Size: flavors["box"].Size()})
+	}
+	if out = l.Round(in); len(out.Rent) != 0 {
+		t.Fatalf("rents %+v though enough is on its way", out.Rent)
+	}
+	in.Now = 10 * 10 * sec // it never came
+	if out = l.Round(in); len(out.Rent) != 1 {
+		t.Fatal("counts on machines that are long overdue")
+	}
+}
+
+// An empty fleet has no extra, but the largest placeholder stands as soon as a
+// task has been seen.
+func TestEmptyFleetRentsForTheLargest(t *testing.T) {
+	l := New(Defaults())
+	in := input(0)
+	in.Sizes = []model.Need{{Cores: 1000, Mem: 1000}}
+	if out := l.Round(in); len(out.Rent) != 1 || out.Rent[0].Spot || out.Rent[0].Count != 1 {
+		t.Fatalf("rents %+v, want one ordinary box", out.Rent)
+	}
+}
+
+func TestGiveBack(t *testing.T) {
+	l := New(Defaults())
+	h1, h2 := host("h1", "box", model.Need{Cores: 1000}), host("h2", "box", model.Need{})
+	in := input(30*sec, h1, h2)
+	in.Sizes = []model.Need{{Cores: 1000, Mem: 1000}}
+	if out := l.Round(in); len(out.GiveBack) != 0 {
+		t.Fatal("gives back before the time that is charged anyway")
+	}
+	in.Now = 70 * sec
+	h2.EmptyAt = 65 * sec
+	if out := l.Round(in); len(out.GiveBack) != 0 {
+		t.Fatal("gives back what got empty just now")
+	}
+	h2.EmptyAt = 30 * sec
+	in.CloudOK = false
+	if out := l.Round(in); len(out.GiveBack) != 0 {
+		t.Fatal("gives back while the cloud is down")
+	}
+	in.CloudOK = true
+	in.Waiting = []Demand{demand(12, model.Need{Cores: 1000, Mem: 1000}, false)}
+	if out := l.Round(in); len(out.GiveBack) != 0 {
+		t.Fatal("gives back what waiting tasks need")
+	}
+	in.Waiting = nil
+	if out := l.Round(in); len(out.GiveBack) != 1 || out.GiveBack[0] != h2 {
+		t.Fatalf("gives back %v, want h2", out.GiveBack)
+	}
+	h1.Used = model.Need{Cores: 10_000} // the placeholder has nowhere else to go
+	if out := l.Round(in); len(out.GiveBack) != 0 {
+		t.Fatal("gives back the placeholder's machine")
+	}
+	in.Now += l.P.HoldIdle
+	if out := l.Round(in); len(out.GiveBack) != 1 {
+		t.Fatal("a placeholder keeps an empty machine for ever")
+	}
+}
+
+// A task that is not urgent does not pay many times the lowest price.
+func TestDearMachines(t *testing.T) {
+	l := New(Defaults())
+	in := input(0)
+	d := demand(2, model.Need{Cores: 1000, Mem: 1000}, false)
+	in.Waiting = []Demand{d}
+	l.Refuse(Offer{"box", "a", false}, 0)
+	l.Refuse(Offer{"box", "b", false}, 0)
+	if out := l.Round(in); len(out.Rent) != 0 {
+		t.Fatalf("rents %+v", out.Rent)
+	}
+	d.Job.Rank = model.Urgent
+	if out := l.Round(in); len(out.Rent) != 1 || out.Rent[0].Build != "gpu" {
+		t.Fatalf("rents %+v for urgent work", out.Rent)
+	}
+}
--- /dev/null
+++ b/internal/node/failures_test.go
@@ -0,0 +1,307 @@
+package node
+
+import (
+	"errors"
+	"testing"
+
+	"woadweir/internal/core/lead"
+	"woadweir/internal/core/model"
+	"woadweir/internal/state"
+	"woadweir/internal/userapi"
+)
+
+// until lets time pass until the condition holds.
+func (w *world) until(limit model.Micros, what string, cond func() bool) {
+	w.t.Helper()
+	end := w.Now + limit
+	for !cond() {
+		if w.Now >= end {
+			w.t.Fatalf("%.1f s: not within %.1f s: %s\n%s", w.Now.Seconds(), limit.Seconds(), what, w.describe())
+		}
+		w.Run(w.Now + 20*model.Millisecond)
+	}
+}
+
+// A cut-off leader is replaced when its session is over, its held transactions
+// are carried out late without effect, and no rule breaks.
+func TestTakeoverWithLateCommits(t *testing.T) {
+	w := newWorld(t, 3)
+	for i := range 6 {
+		w.submit(sweepJob(i, 8, 20), 0)
+	}
+	w.until(40*model.Second, "something runs", func() bool { return w.rules.OnMachine() > 10 })
+	old := w.leader()
+	old.setCut(holding)
+	for i := 6; i < 9; i++ {
+		w.submit(sweepJob(i, 8, 10), 0)
+	}
+	w.until(14*model.Second, "another leads", func() bool { l := w.leader(); return l != nil && l != old })
+	if old.ctl.auth.Holds(old.ctl.clock()) {
+		t.Fatal("two hold authority")
+	}
+	w.Run(w.Now + 20*model.Second)
+	old.setCut(open)
+	w.Run(w.Now + 60*model.Second)
+	w.check()
+	if n := w.rules.OnMachine(); n != 0 {
+		t.Errorf("%d tasks are still on machines", n)
+	}
+}
+
+// A transaction without an answer may be carried out long after a later one for
+// the same key, under the same grant. It must not bring the old value back.
+func TestOwnLateCommitChangesNothing(t *testing.T) {
+	w := newWorld(t, 4)
+	w.until(5*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	n := w.leader()
+	var held *state.Txn
+	n.intercept = func(m msgCommitted) bool {
+		if m.lane != laneHolder || held != nil {
+			return false
+		}
+		held = m.txn
+		life := n.life
+		m.err = state.ErrLost
+		w.After(commitPatience, func() { n.deliver(life, m) })
+		return true
+	}
+	u := w.submit(sweepJob(1, 6, 15), 0)
+	w.until(60*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 6 })
+	before := n.ctl.view.Stamps["host/host-000000"]
+	if res, err := w.state.Commit(n.name, held); err != nil || res.OK {
+		t.Fatalf("a late copy is carried out: %v, %v", held, err)
+	}
+	w.until(60*model.Second, "done", func() bool { return u.ended == "done" })
+	w.check()
+	if w.rules.Starts != 6 || before == 0 {
+		t.Errorf("%d starts for 6 tasks", w.rules.Starts)
+	}
+}
+
+// A leader that ends and is back within a fraction of a second takes over from
+// itself: under a new grant, without waiting for its old session.
+func TestRestartWithinTheSession(t *testing.T) {
+	w := newWorld(t, 5)
+	for i := range 4 {
+		w.submit(sweepJob(i, 8, 25), 0)
+	}
+	w.until(40*model.Second, "something runs", func() bool { return w.rules.OnMachine() > 10 })
+	n := w.leader()
+	token := n.ctl.leading.token
+	n.crash()
+	w.Run(w.Now + 200*model.Millisecond)
+	n.start()
+	w.until(3*model.Second, "somebody leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	if now := w.leader().ctl.leading.token; now <= token {
+		t.Fatalf("token %d after %d", now, token)
+	}
+	before := w.rules.Starts
+	w.Run(w.Now + 10*model.Second)
+	if w.rules.OnMachine() < 10 && w.rules.Starts == before {
+		t.Error("running tasks were lost")
+	}
+	w.Run(w.Now + 120*model.Second)
+	w.check()
+}
+
+// The election's answer is lost: the node finds the key under its own session,
+// and leads under a grant of its own.
+func TestElectionWhoseAnswerIsLost(t *testing.T) {
+	w := newWorld(t, 6)
+	lost := uint64(0)
+	for _, n := range w.nodes {
+		n.intercept = func(m msgCommitted) bool {
+			if m.lane != laneElect || lost != 0 {
+				return false
+			}
+			res, err := w.state.Commit(n.name, m.txn)
+			if err != nil || !res.OK {
+				return false
+			}
+			lost = res.Epoch
+			life := n.life
+			w.After(commitPatience, func() { n.deliver(life, msgCommitted{lane: m.lane, txn: m.txn, token: m.token, err: state.ErrLost}) })
+			return true
+		}
+	}
+	w.until(10*model.Second, "somebody leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	if token := w.leader().ctl.leading.token; lost == 0 || token <= lost {
+		t.Fatalf("leads under token %d, the lost election's was %d", token, lost)
+	}
+}
+
+// A submission whose 201 was lost is 200 when it is repeated, anywhere, even if
+// the repetition would be refused by itself.
+func TestLostAcceptance(t *testing.T) {
+	w := newWorld(t, 7)
+	w.until(5*model.Second, "a leader that knows the machine types", func() bool { return len(w.nodes[0].ctl.view.Flavors) > 0 })
+	w.Run(w.Now + model.Second)
+	s := sweepJob(1, 3, 5)
+	w.rules.Subs[s.Ref] = s.Job(0)
+	w.nodes[0].ask(msgSubmit{s.Ref, s, nil, make(chan userapi.Answer, 1)}, nil)
+	w.until(model.Second, "it is accepted", func() bool { return w.state.Has("job/" + s.Ref + "/spec") })
+	w.nodes[0].crash()
+	for _, m := range []msgSubmit{{ref: s.Ref, sub: s}, {ref: s.Ref, err: errors.New("malformed")},
+		{ref: s.Ref, sub: func() *model.Submission { c := *s; c.Owner = "nobody"; return &c }()}} {
+		reply := make(chan userapi.Answer, 1)
+		m.reply = reply
+		w.nodes[1].ask(m, nil)
+		w.until(model.Second, "an answer", func() bool { return len(reply) == 1 })
+		if a := <-reply; a.Code != 200 {
+			t.Errorf("a repeated submission is answered %d %s", a.Code, a.Body)
+		}
+	}
+}
+
+// An ended job's records are cleared away, but it is never accepted again.
+func TestEndedJobIsNotRunAgain(t *testing.T) {
+	w := newWorld(t, 8)
+	u := w.submit(sweepJob(1, 2, 2), 0)
+	w.until(60*model.Second, "done", func() bool { return u.ended == "done" })
+	w.until(20*model.Second, "cleared away", func() bool { return !w.state.Has("job/j-000001/spec") })
+	n := w.nodes[1]
+	n.ctl.view = state.NewView() // a node that knows nothing
+	n.ctl.view.Flavors, n.ctl.wantList = simFlavors, true
+	reply := make(chan userapi.Answer, 1)
+	n.ask(msgSubmit{"j-000001", sweepJob(1, 2, 2), nil, reply}, nil)
+	w.until(2*model.Second, "an answer", func() bool { return len(reply) == 1 })
+	if a := <-reply; a.Code != 200 || w.state.Has("job/j-000001/spec") {
+		t.Fatalf("answered %d %s", a.Code, a.Body)
+	}
+}
+
+// An outage of the state service that outlasts the session: nobody acts in it,
+// what runs goes on as long as the workers' leases last, and everything is
+// finished afterwards. Submissions are refused at once.
+func TestOutageLongerThanASession(t *testing.T) {
+	w := newWorld(t, 9)
+	u := w.submit(sweepJob(1, 8, 60), 0)
+	w.until(40*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 8 })
+	w.state.SetOutage(true)
+	w.Run(w.Now + 13*model.Second)
+	if w.leader() != nil {
+		t.Fatal("somebody leads without the state service")
+	}
+	if w.rules.OnMachine() != 8 {
+		t.Fatal("running tasks were lost in a short outage")
+	}
+	reply := make(chan userapi.Answer, 1)
+	w.nodes[1].ask(msgSubmit{"j-000002", sweepJob(2, 1, 1), nil, reply}, nil)
+	if len(reply) != 1 {
+		t.Fatal("a submission that can't be taken is held")
+	}
+	if a := <-reply; a.Code != 503 || a.RetryAfter == 0 {
+		t.Fatalf("answered %d, Retry-After %d", a.Code, a.RetryAfter)
+	}
+	if !w.nodes[1].ctl.healthy() {
+		t.Error("all nodes leave the load balancer in an outage")
+	}
+	w.Run(w.Now + 6*model.Second)
+	w.state.SetOutage(false)
+	w.until(120*model.Second, "it is done", func() bool { return u.ended == "done" })
+	w.check()
+	if w.rules.Starts != 8 {
+		t.Errorf("%d starts for 8 tasks: an outage of 19 s should lose nothing", w.rules.Starts)
+	}
+}
+
+// One node alone gets 503s: a sibling answers its users, and if it led, another
+// takes over.
+func TestLoneRefusal(t *testing.T) {
+	w := newWorld(t, 10)
+	w.submit(sweepJob(1, 4, 30), 0)
+	w.until(40*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 4 })
+	n := w.leader()
+	n.setCut(refused)
+	w.Run(w.Now + 3*model.Second)
+	reply := make(chan userapi.Answer, 1)
+	n.ask(msgPoll{"j-000001", reply}, nil)
+	if len(reply) != 1 {
+		t.Fatal("a poll that can't be answered is held")
+	}
+	if a := <-reply; a.Code != 503 || a.Helper == "" || a.Helper == n.name {
+		t.Fatalf("answered %+v, want a sibling named", a)
+	}
+	w.until(12*model.Second, "another leads", func() bool { l := w.leader(); return l != nil && l != n })
+	w.Run(w.Now + 40*model.Second)
+	w.check()
+	if w.rules.Starts != 4 {
+		t.Errorf("%d starts for 4 tasks", w.rules.Starts)
+	}
+}
+
+// The credits of all grants together never exceed the teams' limits, across
+// moves.
+func TestCreditsAcrossATakeover(t *testing.T) {
+	w := newWorld(t, 11)
+	for range 4 {
+		w.until(20*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+		n := w.leader()
+		sum := map[string]model.Need{}
+		for _, g := range n.ctl.view.Grants {
+			for team, c := range g.Credit {
+				sum[team] = sum[team].Plus(c)
+			}
+		}
+		for name, team := range n.ctl.teams {
+			if !team.Within(sum[name]) {
+				t.Fatalf("credits of %s are %v, the limit is %v", name, sum[name], team.Max)
+			}
+		}
+		n.crash()
+		w.Run(w.Now + 3*model.Second)
+		n.start()
+	}
+}
+
+// A node whose watch is too far behind reads everything again.
+func TestWatchTooOld(t *testing.T) {
+	w := newWorld(t, 12)
+	w.until(5*model.Second, "a leader", func() bool { return w.leader() != nil })
+	w.state.Kept = 2
+	n := w.nodes[0]
+	n.setCut(refused)
+	for i := range 4 {
+		w.submit(sweepJob(i, 4, 5), 0)
+	}
+	w.Run(w.Now + 30*model.Second)
+	n.setCut(open)
+	w.Run(w.Now + 10*model.Second)
+	if got, want := n.ctl.view.Epoch, w.nodes[1].ctl.view.Epoch; got+50 < want {
+		t.Fatalf("the view is at %d, another's at %d", got, want)
+	}
+	for ref := range w.rules.Accepted {
+		if _, _, _, known := n.ctl.view.Status(ref); !known {
+			t.Errorf("%s is not known", ref)
+		}
+	}
+}
+
+// Without authority no worker gets a 200, however early its lease ends.
+func TestNoAnswerToWorkersWithoutAuthority(t *testing.T) {
+	w := newWorld(t, 13)
+	w.until(5*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	n := w.leader()
+	spans := n.ctl.auth.Spans
+	n.setCut(dropped)
+	w.Run(w.Now + spans.TTL + model.Second)
+	reply := make(chan workerAnswer, 1)
+	r := simReport("host-z")
+	n.ask(msgCheckin{r, reply}, nil)
+	if a := <-reply; a.code == 200 {
+		t.Fatal("a worker was answered without authority")
+	}
+}
+
+func TestSettle(t *testing.T) {
+	for _, c := range []struct{ lease, report, cancel float64 }{{18, 2.5, 38}, {18, 2.5, 43}, {30, 5, 45}, {10, 2, 22}} {
+		lease, report, cancel := model.Seconds(c.lease), model.Seconds(c.report), model.Seconds(c.cancel)
+		s := lead.Settle(30*model.Second, lease, report, cancel)
+		if s.TTL+lease+lease/1000 >= cancel {
+			t.Errorf("%v: a cut-off holder keeps a cancelled task for %v", c, s.TTL+lease)
+		}
+		if s.TTL > 30*model.Second || s.TTL+2*report >= lease+report {
+			t.Errorf("%v: session of %v is too long for a takeover within the lease", c, s.TTL)
+		}
+	}
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -10,6 +10,7 @@
 
 	"woadweir/internal/cloud"
 	"woadweir/internal/config"
+	"woadweir/internal/core/block"
 	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
 	"woadweir/internal/standin"
@@ -55,6 +56,8 @@
 	late    []func() // held requests
 	workers bool     // workers reach it
 	pending []func() bool
+	// intercept takes a transaction away if it returns true.
+	intercept func(msgCommitted) bool
 }
 
 // world is a deployment in simulated time.
@@ -306,6 +309,9 @@
 }
 
 func (n *simNode) commit(m msgCommitted) {
+	if n.intercept != nil && n.intercept(m) {
+		return
+	}
 	life := n.life
 	n.request(func() func() {
 		m.res, m.err = n.w.state.Commit(n.name, m.txn)
@@ -510,3 +516,7 @@
 	}
 	return s
 }
+
+func simReport(host string) *block.Report {
+	return &block.Report{Host: host, Build: "small", Yard: "a", Tenure: 1, Tally: 1}
+}
--- /dev/null
+++ b/internal/state/state_test.go
@@ -0,0 +1,137 @@
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"net"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/model"
+)
+
+// An older event never replaces what a newer one, or our own commit, has set.
+func TestViewKeepsTheNewest(t *testing.T) {
+	v := NewView()
+	v.Put("job/j-1/spec", &model.Submission{Ref: "j-1", Pieces: 3}, 10)
+	v.Put("job/j-1/end", block.EndRecord{Status: "done", Pieces: 3}, 20)
+	v.Set("job/j-1/end", json.RawMessage(`{"status":"withdrawn"}`), 15)
+	if status, done, _, known := v.Status("j-1"); status != "done" || done != 3 || !known {
+		t.Errorf("status %s, %d done, known %v", status, done, known)
+	}
+	v.Drop("job/j-1/end", 15)
+	if _, ok := v.Final("j-1"); !ok {
+		t.Error("an old removal undid the end")
+	}
+	v.Drop("job/j-1/spec", 30)
+	if _, ok := v.Final("j-1"); !ok {
+		t.Error("the end is forgotten with the submission")
+	}
+	v.Drop("job/j-1/end", 31)
+	if _, _, _, known := v.Status("j-1"); known {
+		t.Error("a job without records is known")
+	}
+}
+
+func TestViewCountsBound(t *testing.T) {
+	v := NewView()
+	// A listing has hosts before jobs.
+	v.Set("host/h1", json.RawMessage(`{"pieces":{"j-1":[[0,5],[1,6]]}}`), 1)
+	v.Put("job/j-1/spec", &model.Submission{Ref: "j-1", Pieces: 3}, 2)
+	v.Recount()
+	if status, _, running, _ := v.Status("j-1"); status != "running" || running != 2 {
+		t.Errorf("%s with %d", status, running)
+	}
+	v.Put("host/h1", block.HostRecord{}, 3)
+	if status, _, _, _ := v.Status("j-1"); status != "pending" {
+		t.Errorf("%s though nothing is bound", status)
+	}
+}
+
+func TestBudget(t *testing.T) {
+	b := NewBudget(10)
+	if n := b.Left(0); n != 10 {
+		t.Errorf("%d at first, want a second's worth", n)
+	}
+	b.Spend(12, 0)
+	if n := b.Left(0); n != 0 {
+		t.Errorf("%d left of a spent budget", n)
+	}
+	if n := b.Left(model.Second); n != 8 {
+		t.Errorf("%d after a second, want 8", n)
+	}
+	b.Drain(model.Second)
+	if n := b.Left(model.Second + model.Second/2); n != 5 {
+		t.Errorf("%d half a second after a refusal, want 5", n)
+	}
+}
+
+// What the client sends and how it reads the service's answers.
+func TestClient(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got, answer string
+	code := 200
+	srv := &fasthttp.Server{Handler: func(c *fasthttp.RequestCtx) {
+		got = string(c.Method()) + " " + string(c.RequestURI()) + " " + string(c.PostBody())
+		c.SetStatusCode(code)
+		c.SetBodyString(answer)
+	}}
+	go srv.Serve(ln) //nolint:errcheck // ends with the listener
+	defer ln.Close()
+	c := NewClient(ln.Addr().String())
+	const patience = 5 * model.Second
+
+	answer = `{"epoch":432}`
+	r, err := c.Commit(&Txn{Guards: []Guard{{"a/b", 0}}, Then: []Op{{Set: "a/b", Value: 1, Tenancy: 7}, {Drop: "c/d"}}}, patience)
+	if err != nil || !r.OK || r.Epoch != 432 {
+		t.Errorf("commit: %+v, %v", r, err)
+	}
+	if want := `POST /commit {"guards":[{"path":"a/b","stamp":0}],"then":[{"set":"a/b","value":1,"tenancy":7},{"drop":"c/d"}]}`; got != want {
+		t.Errorf("sent %s\nwant %s", got, want)
+	}
+	code, answer = 409, `{"failed":["a/b"],"epoch":431}`
+	if r, err = c.Commit(&Txn{}, patience); err != nil || r.OK || len(r.Failed) != 1 {
+		t.Errorf("conflict: %+v, %v", r, err)
+	}
+	code, answer = 400, `{"error":"no such lease"}`
+	if _, err = c.Commit(&Txn{}, patience); !errors.Is(err, ErrNoLease) {
+		t.Errorf("expired lease: %v", err)
+	}
+	for status, want := range map[int]error{429: ErrBusy, 503: ErrRefused, 410: ErrTooOld} {
+		code = status
+		if _, err := c.Watch(5, patience); !errors.Is(err, want) {
+			t.Errorf("%d: %v", status, err)
+		}
+	}
+	if got != "GET /watch?starts=&from=5&blockMs=0 " {
+		t.Errorf("sent %s", got)
+	}
+	code, answer = 200, `{"epoch":9,"events":[{"set":"k","value":{"x":1},"stamp":9},{"drop":"l","stamp":8}]}`
+	if ch, err := c.Watch(5, patience); err != nil || ch.Epoch != 9 || len(ch.Events) != 2 || ch.Events[1].Drop != "l" {
+		t.Errorf("watch: %+v, %v", ch, err)
+	}
+	answer = `{"tenancy":7}`
+	if id, err := c.Grant(2500*model.Millisecond, patience); err != nil || id != 7 || got != `POST /grants {"ttlMs":2500}` {
+		t.Errorf("grant: %d, %v, sent %s", id, err, got)
+	}
+	code = 404
+	if err := c.Touch(7, patience); !errors.Is(err, ErrMissing) || got != "POST /grants/7/touch " {
+		t.Errorf("touch: %v, sent %s", err, got)
+	}
+	if err := c.End(7, patience); err != nil {
+		t.Errorf("ending a lease that is over: %v", err)
+	}
+	if _, err := c.Get("node/a", patience); !errors.Is(err, ErrMissing) || got != "GET /keys/node/a " {
+		t.Errorf("get: %v, sent %s", err, got)
+	}
+	ln.Close()
+	srv.Shutdown() //nolint:errcheck // connections are dropped
+	if err := NewClient("127.0.0.1:1").Touch(7, model.Second); !errors.Is(err, ErrLost) {
+		t.Errorf("unreachable: %v", err)
+	}
+}
