A leader that is cut off alone gives its session up instead of letting it run out

Change: after two pings that say a sibling reaches what it does not, the leader stops acting and has its session ended by that sibling. Ruled out: a shorter session, which outages of the state service would outlast.

--- a/internal/core/lead/session.go
+++ b/internal/core/lead/session.go
@@ -76,6 +76,15 @@
 // ID is the lease being kept, 0 if there is none.
 func (s *Session) ID() uint64 { return s.id }
 
+// Abandon has the lease ended instead of renewed: its owner has stopped acting
+// under it. It must not be called while a request is on its way.
+func (s *Session) Abandon(id uint64) {
+	if id != 0 && id == s.id {
+		s.id = 0
+		s.call = Call{Kind: CallEnd, ID: id}
+	}
+}
+
 // Take takes the outcome of the request and decides the next.
 func (s *Session) Take(r Reply) (n News) {
 	retry := func() { s.call = Call{Kind: CallRead, After: sessionRetry} }
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -55,11 +55,12 @@
 	now   model.Micros
 	wall  func() int64 // time of day, ms
 
-	teams   map[string]*model.Team
-	auth    lead.Authority
-	session uint64
-	view    *state.View
-	loaded  bool
+	teams    map[string]*model.Team
+	auth     lead.Authority
+	session  uint64
+	resigned uint64 // a session that was given up, whatever is heard of it
+	view     *state.View
+	loaded   bool
 
 	syncing   bool
 	syncAt    model.Micros // when the last one was sent
@@ -76,17 +77,19 @@
 
 	stateBad bool // the last catch-up failed
 	pinging  bool
-	pingAt   model.Micros // when siblings were last asked
-	pingedAt model.Micros // when they last answered
-	alive    int          // siblings that answered
-	helpers  []string     // siblings that reach the state service
+	pingAt   model.Micros            // when siblings were last asked
+	pingedAt model.Micros            // when they last answered
+	alive    int                     // siblings that answered
+	helpers  []string                // siblings that reach the state service
+	seen     map[string]model.Micros // when workers reported here last
+	cutPings int                     // pings in a row that spoke for resigning
 
 	leading *leadership
 }
 
 func newController(set *config.Settings, op *config.Operator, spans lead.Spans, clock Clock, io effects) *controller {
 	return &controller{set: set, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
-		view: state.NewView(), wantList: true, budget: state.NewBudget(set.Params.State.WriteRPS / 4),
+		seen: map[string]model.Micros{}, view: state.NewView(), wantList: true, budget: state.NewBudget(set.Params.State.WriteRPS / 4),
 		wall: func() int64 { return time.Now().UnixMilli() }}
 }
 
@@ -125,10 +128,11 @@
 	case msgUp:
 		m.reply <- c.healthy()
 	case msgReached:
-		m.reply <- c.loaded && !c.suspect()
+		m.reply <- pinged{c.loaded && !c.suspect(), c.workersSeen()}
 	case msgPinged:
 		c.pinging, c.pingedAt = false, c.now
 		c.alive, c.helpers = m.alive, m.helpers
+		c.considerResigning(m)
 	case msgCheckin:
 		c.checkin(m)
 	case msgSession:
@@ -171,6 +175,9 @@
 		c.stepDown("session over")
 		return
 	}
+	if m.id == c.resigned {
+		return
+	}
 	if m.id != c.session && c.session != 0 {
 		c.stepDown("new session")
 	}
@@ -338,15 +345,75 @@
 }
 
 // startPing asks the siblings whether they reach the state service, as long as
-// this controller may not.
+// this controller may not, and whether workers come to them, as long as none
+// comes to a leader.
 func (c *controller) startPing() {
-	if c.pinging || !c.suspect() || len(c.set.Siblings) == 0 || c.pingAt != 0 && c.now-c.pingAt < 500*model.Millisecond {
+	if c.pinging || !c.suspect() && !c.deserted() || len(c.set.Siblings) == 0 || c.pingAt != 0 && c.now-c.pingAt < 500*model.Millisecond {
 		return
 	}
 	c.pinging, c.pingAt = true, c.now
 	c.io.ping()
 }
 
+// seenFresh is how long a worker's report counts as lately.
+const seenFresh = 5 * model.Second
+
+// workersSeen is the number of workers that reported here lately.
+func (c *controller) workersSeen() int {
+	for ref, at := range c.seen {
+		if c.now-at > seenFresh {
+			delete(c.seen, ref)
+		}
+	}
+	return len(c.seen)
+}
+
+// deserted tells that this controller leads and holds machines that are up, but
+// that none has reported for a while.
+func (c *controller) deserted() bool {
+	l := c.leading
+	if l == nil || !l.ready {
+		return false
+	}
+	up := 0
+	for _, m := range l.h.Hosts {
+		if !m.Up || m.Lost || m.Deleting {
+			continue
+		}
+		if c.now-m.Heard < 2*l.h.P.Report {
+			return false
+		}
+		up++
+	}
+	return up > 1
+}
+
+// considerResigning gives leadership up when a sibling can do what this
+// controller can't: reach the state service, or the workers. It stops acting
+// first, so its session can be ended at once and nobody has to wait until it
+// runs out. Two pings in a row have to say so.
+func (c *controller) considerResigning(m msgPinged) {
+	cut := c.suspect() && c.now-c.syncOK > 2*model.Second && len(m.helpers) > 0
+	alone := c.deserted() && m.workers > 0
+	if c.leading == nil || c.session == 0 || !cut && !alone {
+		c.cutPings = 0
+		return
+	}
+	if c.cutPings++; c.cutPings < 2 {
+		return
+	}
+	c.cutPings = 0
+	session, helper := c.session, ""
+	if cut {
+		helper = m.helpers[0]
+	}
+	c.auth.Ended()
+	c.session, c.resigned = 0, session
+	c.pauses[laneElect] = c.now + 5*model.Second
+	c.stepDown("resigned: a sibling reaches what this node does not")
+	c.io.resign(session, helper)
+}
+
 const pingFresh = 2 * model.Second
 
 // healthy tells whether users are to be sent here. A controller that is cut off
@@ -649,6 +716,7 @@
 }
 
 func (c *controller) checkin(m msgCheckin) {
+	c.seen[m.report.Host] = c.now
 	if c.leading == nil {
 		m.reply <- c.elsewhere()
 		return
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -256,7 +256,8 @@
 	if a := <-reply; a.Code != 503 || a.Helper == "" || a.Helper == n.name {
 		t.Fatalf("answered %+v, want a sibling named", a)
 	}
-	w.until(12*model.Second, "another leads", func() bool { l := w.leader(); return l != nil && l != n })
+	w.until(3*model.Second, "another leads, long before the session runs out",
+		func() bool { l := w.leader(); return l != nil && l != n })
 	w.Run(w.Now + 40*model.Second)
 	w.check()
 	if w.rules.Starts != 4 {
@@ -264,6 +265,22 @@
 	}
 }
 
+// A leader that no worker reaches any more hands over to a sibling that they do
+// reach, before their leases run out.
+func TestDesertedLeaderResigns(t *testing.T) {
+	w := newWorld(t, 15)
+	w.submit(sweepJob(1, 12, 60), 0)
+	w.until(40*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 12 })
+	n := w.leader()
+	n.workers = false
+	w.until(12*model.Second, "another leads", func() bool { l := w.leader(); return l != nil && l != n })
+	w.Run(w.Now + 30*model.Second)
+	w.check()
+	if w.rules.Starts != 12 {
+		t.Errorf("%d starts for 12 tasks", w.rules.Starts)
+	}
+}
+
 // The credits of all grants together never exceed the teams' limits, across
 // moves.
 func TestCreditsAcrossATakeover(t *testing.T) {
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
+	"time"
 
 	"woadweir/internal/cloud"
 	"woadweir/internal/core/block"
@@ -21,6 +23,8 @@
 	rent(m msgRented)
 	remove(refs []string, term uint64)
 	ping()
+	// resign has a session ended, by a sibling if one is named.
+	resign(session uint64, helper string)
 }
 
 // inputOutput carries the effects out, each in a goroutine of its own.
@@ -32,6 +36,8 @@
 	peers []*peer.Client
 	name  string
 	ctx   context.Context
+	// abandon tells the session actor of sessions that are given up.
+	abandon chan<- uint64
 }
 
 func (io *inputOutput) send(m any) {
@@ -113,12 +119,13 @@
 		type result struct {
 			name           string
 			alive, reached bool
+			workers        int
 		}
 		results := make(chan result, len(io.peers))
 		for _, p := range io.peers {
 			go func() {
-				reached, err := p.Ping(ctx, io.name)
-				results <- result{p.Name, err == nil, reached}
+				reached, workers, err := p.Ping(ctx, io.name)
+				results <- result{p.Name, err == nil, reached, workers}
 			}()
 		}
 		var m msgPinged
@@ -127,6 +134,7 @@
 			if r.alive {
 				m.alive++
 			}
+			m.workers += r.workers
 			if r.reached {
 				m.helpers = append(m.helpers, r.name)
 			}
@@ -135,6 +143,30 @@
 	}()
 }
 
+func (io *inputOutput) resign(session uint64, helper string) {
+	select {
+	case io.abandon <- session:
+	default: // it has more to end than it can; their leases run out
+	}
+	go func() {
+		if helper == "" {
+			if err := io.state.End(session, 2*model.Second); err != nil {
+				slog.Info("resign", "err", err)
+			}
+			return
+		}
+		ctx, cancel := context.WithTimeout(io.ctx, 2*time.Second)
+		defer cancel()
+		for _, p := range io.peers {
+			if p.Name == helper {
+				if err := p.Resign(ctx, session); err != nil {
+					slog.Info("resign", "helper", helper, "err", err)
+				}
+			}
+		}
+	}()
+}
+
 // holderTxn makes a holder's transaction: it is guarded by the grant, and every
 // key by the version of it that we know, so that a copy that is carried out
 // late changes nothing.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -84,11 +84,18 @@
 	msgPinged struct {
 		alive   int
 		helpers []string
+		workers int // that reported to siblings lately
 	}
-	// msgReached asks whether the state service is reached.
-	msgReached struct{ reply chan<- bool }
+	// msgReached is a sibling's ping.
+	msgReached struct{ reply chan<- pinged }
 )
 
+// pinged is the answer to a sibling's ping.
+type pinged struct {
+	reached bool
+	workers int
+}
+
 // workerAnswer is a response to a worker.
 type workerAnswer struct {
 	code int
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,12 +59,14 @@
 	if err != nil {
 		return err
 	}
-	f := &front{mail: mail, peers: peers, ctx: ctx}
+	f := &front{mail: mail, peers: peers, state: st, ctx: ctx}
 	g.Go(func() error { return peer.Serve(ctx, back, f) })
-	io := &inputOutput{mail: mail, clock: clock, state: st, cloud: cloud.NewClient(set.Services.Cloud), peers: peers, name: set.NodeName, ctx: ctx}
+	abandon := make(chan uint64, 8)
+	io := &inputOutput{mail: mail, clock: clock, state: st, cloud: cloud.NewClient(set.Services.Cloud), peers: peers, name: set.NodeName, ctx: ctx,
+		abandon: abandon}
 	c := newController(set, op, spans, clock, io)
 	g.Go(func() error { return c.run(ctx, mail) })
-	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL}
+	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL, abandon: abandon}
 	g.Go(func() error { return ses.run(ctx) })
 	g.Go(func() error { return tick(ctx, mail) })
 	srv := &fasthttp.Server{Handler: f.serve, Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
@@ -114,6 +116,7 @@
 type front struct {
 	mail  chan<- any
 	peers []*peer.Client
+	state *state.Client
 	ctx   context.Context
 }
 
@@ -148,11 +151,18 @@
 	return a
 }
 
-// StateReached answers a sibling's ping.
-func (f *front) StateReached() bool {
-	reply := make(chan bool, 1)
-	ok, got := ask(f.mail, msgReached{reply}, reply, patienceUp)
-	return ok && got
+// Ping answers a sibling's ping.
+func (f *front) Ping() (stateReached bool, workers int) {
+	reply := make(chan pinged, 1)
+	p, _ := ask(f.mail, msgReached{reply}, reply, patienceUp)
+	return p.reached, p.workers
+}
+
+// EndSession ends a sibling's session on its own request.
+func (f *front) EndSession(id uint64) {
+	if err := f.state.End(id, 2*model.Second); err != nil {
+		slog.Info("a sibling's session could not be ended", "id", id, "err", err)
+	}
 }
 
 // User answers a user's request by what this controller itself knows.
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -21,6 +21,8 @@
 	name  string
 	serve string
 	ttl   model.Micros
+	// abandon takes sessions that are to be ended instead of renewed.
+	abandon chan uint64
 }
 
 func pause(ctx context.Context, d model.Micros) bool {
@@ -44,6 +46,12 @@
 		if !pause(ctx, call.After) {
 			return nil
 		}
+		select {
+		case id := <-s.abandon:
+			core.Abandon(id)
+			continue
+		default:
+		}
 		core.Sending(s.clock())
 		reply, err := s.make(call)
 		if err != nil {
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -56,6 +56,7 @@
 	late    []func() // held requests
 	workers bool     // workers reach it
 	pending []func() bool
+	abandon uint64 // a session that the session actor is to end
 	// intercept takes a transaction away if it returns true.
 	intercept func(msgCommitted) bool
 }
@@ -188,6 +189,12 @@
 		if !n.alive || n.life != life {
 			return
 		}
+		if n.abandon != 0 {
+			n.ses.Abandon(n.abandon)
+			n.abandon = 0
+			n.session(life)
+			return
+		}
 		n.ses.Sending(n.ctl.clock())
 		var r lead.Reply
 		key := "node/" + n.name
@@ -364,9 +371,11 @@
 				continue
 			}
 			m.alive++
-			reply := make(chan bool, 1)
+			reply := make(chan pinged, 1)
 			o.ask(msgReached{reply}, nil)
-			if <-reply {
+			p := <-reply
+			m.workers += p.workers
+			if p.reached {
 				m.helpers = append(m.helpers, o.name)
 			}
 		}
@@ -374,6 +383,18 @@
 	})
 }
 
+func (n *simNode) resign(session uint64, helper string) {
+	n.abandon = session
+	o := n
+	if helper != "" {
+		o = n.w.nodes[slices.Index(n.w.Nodes(), helper)]
+	}
+	o.request(func() func() {
+		_ = n.w.state.End(o.name, session) // what is lost is lost
+		return func() {}
+	}, func() {}, 2*model.Second)
+}
+
 // --- users
 
 // user submits a job with retries, polls until its end, and may cancel it.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -19,8 +19,11 @@
 type Handler interface {
 	// User answers a user's request without forwarding it.
 	User(method, path string, body []byte) userapi.Answer
-	// StateReached tells whether the state service was reached lately.
-	StateReached() bool
+	// Ping tells whether the state service was reached lately, and how many
+	// workers reported lately.
+	Ping() (stateReached bool, workers int)
+	// EndSession ends a sibling's session on its own request.
+	EndSession(id uint64)
 }
 
 type server struct {
@@ -34,7 +37,13 @@
 }
 
 func (s *server) Ping(context.Context, *PingRequest) (*PingAnswer, error) {
-	return &PingAnswer{StateReached: s.h.StateReached()}, nil
+	reached, workers := s.h.Ping()
+	return &PingAnswer{StateReached: reached, Workers: int32(workers)}, nil
+}
+
+func (s *server) Resign(_ context.Context, r *ResignRequest) (*ResignAnswer, error) {
+	s.h.EndSession(r.GetSession())
+	return &ResignAnswer{}, nil
 }
 
 // Serve answers calls until the context ends.
@@ -73,13 +82,20 @@
 	return userapi.Answer{Code: int(a.GetCode()), Body: a.GetBody(), RetryAfter: int(a.GetRetryAfterS())}, nil
 }
 
-// Ping tells whether the other controller reaches the state service.
-func (c *Client) Ping(ctx context.Context, self string) (bool, error) {
+// Ping tells whether the other controller reaches the state service, and how
+// many workers reported to it lately.
+func (c *Client) Ping(ctx context.Context, self string) (reached bool, workers int, err error) {
 	a, err := c.rpc.Ping(ctx, &PingRequest{Node: self})
 	if err != nil {
-		return false, err
+		return false, 0, err
 	}
-	return a.GetStateReached(), nil
+	return a.GetStateReached(), int(a.GetWorkers()), nil
+}
+
+// Resign has the other controller end our session.
+func (c *Client) Resign(ctx context.Context, session uint64) error {
+	_, err := c.rpc.Resign(ctx, &ResignRequest{Session: session})
+	return err
 }
 
 // Close drops the connection.
