--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -120,7 +120,7 @@
 	}
 	h.Jobs[j.Ref] = js
 	h.NeedPlace = true
-	h.Log(Event{What: "job", Piece: j.Ref, Why: j.Class})
+	h.Log(Event{What: "job", Piece: j.Ref, Why: j.Class + " of " + j.Owner})
 	return js
 }
 
@@ -629,7 +629,7 @@
 		if p, ok := h.P.Waits[j.Class]; ok {
 			return p * 2 / 5
 		}
-		return 60 * model.Second
+		return 180 * model.Second
 	}
 	w.Due = func(j *model.JobState) model.Micros { return h.due(j, now) }
 	w.Bind = func(j *model.JobState, n int, m *model.Host, try uint64) { h.bind(j, n, m, try, now) }
