--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -160,13 +160,18 @@
 	costErred    = 30 * model.Second // the job has failed there before
 )
 
+// fetch is how long the job's image takes to be there.
+func (w *World) fetch(j *model.JobState, h *model.Host) model.Micros {
+	f := w.Flavors[h.Build]
+	if h.HasImage(j.Image) || f == nil || f.FetchGBps <= 0 {
+		return 0
+	}
+	return model.Seconds(j.ImageGB / f.FetchGBps)
+}
+
 // cost ranks a host for a job: the image fetch, and what is spoilt for others.
 func (w *World) cost(j *model.JobState, h *model.Host) (c model.Micros) {
-	if !h.HasImage(j.Image) {
-		if f := w.Flavors[h.Build]; f != nil && f.FetchGBps > 0 {
-			c += model.Seconds(j.ImageGB / f.FetchGBps)
-		}
-	}
+	c += w.fetch(j, h)
 	if h.Size.GPUs > 0 && j.Need.GPUs == 0 {
 		c += costGPUHost
 		if !j.Need.Fits(w.free(h).Minus(w.reserve[h])) {
@@ -233,13 +238,14 @@
 		if j.Ended != "" || j.EndWanted || len(j.Waiting) == 0 || w.Now < j.NotBefore {
 			continue
 		}
+		kept := false
 		if j.Shape == model.Gang {
-			w.gang(j)
+			kept = w.gang(j)
 		} else {
 			w.sweep(j)
 		}
-		if len(j.Waiting) > 0 && w.Stop != nil {
-			w.preempt(j)
+		if len(j.Waiting) > 0 && w.Stop != nil && !kept {
+			w.preempt(j, func(*model.Host) bool { return true })
 		}
 	}
 }
@@ -274,10 +280,11 @@
 }
 
 // gang binds all tasks or none. While anything of an earlier attempt may still
-// be on a machine, the next attempt has to wait.
-func (w *World) gang(j *model.JobState) {
+// be on a machine, the next attempt has to wait. It tells whether it waits for
+// room that has been kept for it.
+func (w *World) gang(j *model.JobState) (kept bool) {
 	if len(j.Bound) > 0 || len(j.Waiting) != j.Pieces || w.teamRoom(j, j.Pieces) < j.Pieces {
-		return
+		return false
 	}
 	cs := w.candidates(j)
 	var best []*model.Host
@@ -300,12 +307,35 @@
 		best, _ = w.pick(j, cs)
 	}
 	if best == nil {
-		return
+		return false
+	}
+	if w.slow(j, best) && w.preempt(j, func(h *model.Host) bool { return h.HasImage(j.Image) }) {
+		return true
 	}
 	try := w.NextTry()
 	for _, h := range best {
 		w.Bind(j, j.Waiting[0], h, try)
 	}
+	return false
+}
+
+// slow tells that fetching the image would make a pressed job miss its class's
+// start aim, so that stopping others on machines that have the image is quicker.
+func (w *World) slow(j *model.JobState, hosts []*model.Host) bool {
+	if w.Stop == nil || !w.pressed(j) {
+		return false
+	}
+	aim := w.Patience(j) * 5 / 2
+	age := w.Now - j.SeenAt
+	if age > 2*aim {
+		return false
+	}
+	for _, h := range hosts {
+		if w.fetch(j, h) > max(aim-age, stopTime) {
+			return true
+		}
+	}
+	return false
 }
 
 // pick chooses a host for every task of the gang, or none.
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -13,11 +13,12 @@
 
 // preempt makes room for a job of higher rank that found none: it stops tasks
 // of lower rank where that loses least, and keeps the room that comes free for
-// this job. Room that earlier stops are about to free counts first.
-func (w *World) preempt(j *model.JobState) {
+// this job. Room that earlier stops are about to free counts first. Only machines
+// that suit are considered. It tells whether all the room was found and kept.
+func (w *World) preempt(j *model.JobState, suits func(*model.Host) bool) (kept bool) {
 	n := w.teamRoom(j, len(j.Waiting))
 	if j.Shape == model.Gang && (len(j.Bound) > 0 || n < j.Pieces) || n == 0 {
-		return
+		return false
 	}
 	type option struct {
 		h       *model.Host
@@ -26,7 +27,7 @@
 	}
 	var options []option
 	for _, h := range w.Hosts {
-		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(h.Size) {
+		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(h.Size) || !suits(h) {
 			continue
 		}
 		fetch := w.cost(j, h) * value(j.Need) / 4
@@ -89,7 +90,7 @@
 		chosen = append(chosen, o)
 	}
 	if len(chosen) == 0 || j.Shape == model.Gang && len(chosen) < j.Pieces {
-		return
+		return false
 	}
 	late := w.late(j)
 	for _, o := range chosen {
@@ -101,6 +102,7 @@
 		}
 		w.kept[o.h] = w.kept[o.h].Plus(j.Need)
 	}
+	return len(chosen) == n
 }
 
 // gpuValue is what a GPU counts beside a core when work is weighed.
