--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -172,6 +172,12 @@
 	m.Used = m.Used.Plus(js.Need)
 	h.Used[js.Owner] = h.Used[js.Owner].Plus(js.Need)
 	if f := h.Flavors[m.Build]; f != nil {
+		if !m.HasImage(js.Image) && f.FetchGBps > 0 {
+			if m.ReadyAt == nil {
+				m.ReadyAt = map[string]model.Micros{}
+			}
+			m.ReadyAt[js.Image] = now + h.P.Report/2 + model.Seconds(js.ImageGB/f.FetchGBps)
+		}
 		m.TouchImage(js.Image, js.ImageGB, f.CacheGB)
 	}
 	return b
@@ -351,6 +357,9 @@
 		}
 	}
 	b.Status = p.Status
+	if p.Status == model.Running || p.Status == model.Gathering || p.Cause == "done" {
+		delete(m.ReadyAt, b.Job.Image)
+	}
 	if p.Status != model.Ended {
 		return
 	}
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -146,6 +146,9 @@
 	Failed        bool
 	Cache         []string // images, most recently used last
 	CacheGB       map[string]float64
+	// ReadyAt is when an image that is being fetched is thought to be there. An
+	// image without an entry has been seen in use.
+	ReadyAt map[string]Micros
 }
 
 // Free is the room left.
@@ -182,6 +185,7 @@
 	for total > cacheGB && len(h.Cache) > 1 {
 		total -= h.CacheGB[h.Cache[0]]
 		delete(h.CacheGB, h.Cache[0])
+		delete(h.ReadyAt, h.Cache[0])
 		h.Cache = h.Cache[1:]
 	}
 }
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -163,9 +163,13 @@
 // fetch is how long the job's image takes to be there.
 func (w *World) fetch(j *model.JobState, h *model.Host) model.Micros {
 	f := w.Flavors[h.Build]
-	if h.HasImage(j.Image) || f == nil || f.FetchGBps <= 0 {
+	if f == nil || f.FetchGBps <= 0 {
 		return 0
 	}
+	if h.HasImage(j.Image) {
+		// Being fetched, it may take a while yet.
+		return max(0, h.ReadyAt[j.Image]-w.Now)
+	}
 	return model.Seconds(j.ImageGB / f.FetchGBps)
 }
 
@@ -309,7 +313,7 @@
 	if best == nil {
 		return false
 	}
-	if w.slow(j, best) && w.preempt(j, func(h *model.Host) bool { return h.HasImage(j.Image) }) {
+	if w.slow(j, best) && w.preempt(j, func(h *model.Host) bool { return w.fetch(j, h) < model.Second }) {
 		return true
 	}
 	try := w.NextTry()
