--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -324,6 +324,7 @@
 			h.complete(p.ID, nil, now)
 		}
 	}
+	h.judgeSpeed(m, now)
 	for id, b := range m.Bound {
 		if seen[id] || r.Warrant != h.Token {
 			// Under an older token an earlier holder's start may still be on its way.
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -436,3 +436,31 @@
 		t.Fatalf("%d stopped: work of the same rank was displaced", stops)
 	}
 }
+
+// A machine on which tasks run far longer than expected gets work last.
+func TestSlowMachineIsNoticed(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 2, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	running := func(now model.Micros) {
+		var ps []Piece
+		for n := range 2 {
+			ps = append(ps, Piece{ID: js.Bound[n][0].ID, Try: js.Bound[n][0].Try, Status: model.Running})
+		}
+		w.says(now, 5, ps...)
+	}
+	running(2 * sec)
+	running(30 * sec)
+	if h.Hosts["h1"].SlowUntil != 0 {
+		t.Fatal("slow after less than three times the expected run")
+	}
+	running(40 * sec)
+	newWorker(h, "h2", "box", "a").says(40*sec, 5)
+	h.AddJob(job("j-2", 1, model.Sweep), model.Set{}, "", 40*sec, 0)
+	h.Place(40 * sec)
+	if len(h.Hosts["h2"].Bound) != 1 {
+		t.Fatal("new work goes to the slow machine")
+	}
+}
--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -67,3 +67,29 @@
 	}
 	return never + j.SeenAt
 }
+
+// What makes a machine seem slow: two tasks that run for three times as long as
+// was expected of them, which single wrong guesses hardly explain.
+const (
+	slowFactor = 3
+	slowTasks  = 2
+	slowFor    = 60 * model.Second
+)
+
+// judgeSpeed notices slow machines. Work on them is left to finish; new work
+// prefers others for a while.
+func (h *Holder) judgeSpeed(m *model.Host, now model.Micros) {
+	n := 0
+	for _, b := range m.Bound {
+		if e := h.Expected(b.Job); b.RunAt != 0 && e > 0 && now-b.RunAt > slowFactor*max(e, 5*model.Second) {
+			n++
+		}
+	}
+	if n < slowTasks {
+		return
+	}
+	if now >= m.SlowUntil {
+		h.Log(Event{What: "slow", Host: m.Ref})
+	}
+	m.SlowUntil = now + slowFor
+}
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -139,7 +139,8 @@
 	Leaving       bool   // to be returned once empty: no new work
 	Deleting      bool   // a deletion is on its way
 	Sick          bool
-	Errors        int // errors in a row
+	SlowUntil     Micros // it seemed slow lately: other machines are preferred until then
+	Errors        int    // errors in a row
 	ErrorJobs     map[string]bool
 	Done          int // tasks completed
 	Listed        bool
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -158,6 +158,7 @@
 	costGPUHost  = model.Second      // a GPU machine for a task without GPUs
 	costStrand   = 8 * model.Second  // leaving GPUs that nothing can use
 	costErred    = 30 * model.Second // the job has failed there before
+	costSlow     = 20 * model.Second // the machine seemed slow lately
 )
 
 // fetch is how long the job's image takes to be there.
@@ -188,6 +189,9 @@
 	if j.ErrorHosts[h.Ref] {
 		c += costErred
 	}
+	if w.Now < h.SlowUntil {
+		c += costSlow
+	}
 	return c
 }
 
