Transactions and records stay within the state service's limits for any job

A transaction of many large records went over 64 KiB, and a machine full of tiny tasks over the size of a value: both are bounded now, and every change counts in the node's budget. The stand-in refuses what the service would.

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -19,6 +19,7 @@
 	Lease    model.Micros
 	GangWait model.Micros
 	GangPeer model.Micros
+	MaxBound int                       // pieces on one machine, so that its record fits a value; 0: no bound
 	Waits    map[string]model.Micros   // by class: the time within which its tasks are to start
 	Finish   map[string][]model.Micros // by class: the times within which its jobs are to be done, ascending
 	Margin   model.Micros              // added where the end of another's lease is waited for
@@ -593,7 +594,7 @@
 
 // World is what a placement round looks at.
 func (h *Holder) World(now model.Micros) *place.World {
-	w := &place.World{Now: now, Silent: 3 * h.P.Report, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors,
+	w := &place.World{Now: now, Silent: 3 * h.P.Report, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
 		Hosts: make([]*model.Host, 0, len(h.Hosts)), Jobs: make([]*model.JobState, 0, len(h.Jobs))}
 	for _, m := range h.Hosts {
 		w.Hosts = append(w.Hosts, m)
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -24,6 +24,8 @@
 	NextTry func() uint64
 	Bind    func(j *model.JobState, n int, h *model.Host, try uint64)
 	Flavors map[string]*model.Flavor
+	// MaxBound is the most pieces that may be bound to one machine, 0: any.
+	MaxBound int
 	// Due is by when a job is to be done to be in time; a job that can't be in
 	// time any more, or needn't be, is due late.
 	Due func(j *model.JobState) model.Micros
@@ -104,6 +106,14 @@
 	return max(0, j.PerYard()-in)
 }
 
+// slots is how many more pieces may be bound to a host.
+func (w *World) slots(h *model.Host) int {
+	if w.MaxBound == 0 {
+		return model.MaxPieces
+	}
+	return max(0, w.MaxBound-len(h.Bound))
+}
+
 // free is the room on a host that is not kept for a job served earlier.
 func (w *World) free(h *model.Host) model.Need { return h.Free().Minus(w.kept[h]) }
 
@@ -276,7 +286,7 @@
 		return
 	}
 	for _, c := range w.candidates(j) {
-		k := min(left, j.Need.Count(w.room(j, c.h), left), YardRoom(j, c.h.Yard))
+		k := min(left, j.Need.Count(w.room(j, c.h), left), YardRoom(j, c.h.Yard), w.slots(c.h))
 		for ; k > 0; k-- {
 			w.Bind(j, j.Waiting[0], c.h, w.NextTry())
 			left--
@@ -350,7 +360,7 @@
 func (w *World) pick(j *model.JobState, cs []candidate) (hosts []*model.Host, cost model.Micros) {
 	inYard := map[string]int{}
 	for _, c := range cs {
-		for k := j.Need.Count(w.room(j, c.h), j.Pieces-len(hosts)); k > 0 && inYard[c.h.Yard] < j.PerYard(); k-- {
+		for k := min(j.Need.Count(w.room(j, c.h), j.Pieces-len(hosts)), w.slots(c.h)); k > 0 && inYard[c.h.Yard] < j.PerYard(); k-- {
 			hosts = append(hosts, c.h)
 			inYard[c.h.Yard]++
 			cost = max(cost, c.cost)
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -617,7 +617,6 @@
 	if len(batch) == 0 {
 		return
 	}
-	c.budget.Spend(len(batch), c.now)
 	c.send(laneUsers, msgCommitted{txn: t, users: batch})
 }
 
@@ -687,6 +686,7 @@
 func (c *controller) send(lane int, m msgCommitted) {
 	m.lane = lane
 	c.busy[lane] = true
+	c.budget.Spend(len(m.txn.Then), c.now)
 	c.io.commit(m)
 }
 
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -328,6 +328,29 @@
 	}
 }
 
+// A job with the most tasks there may be runs within the limits of the state
+// service: the stand-in refuses values and transactions that are too large.
+func TestVeryManyTinyTasks(t *testing.T) {
+	w := newWorld(t, 16)
+	var us []*user
+	for i := range 2 {
+		s := sweepJob(i, 100_000, 1)
+		s.Cores, s.MemoryGB, s.Owner, s.ImageGB = 0.001, 0.001, "red", 0.1
+		us = append(us, w.submit(s, 0))
+	}
+	w.until(60*model.Second, "they run", func() bool { return w.rules.OnMachine() > 1000 })
+	w.Run(w.Now + 6*model.Second)
+	w.check()
+	done := 0
+	for _, u := range us {
+		s := model.SetOf(w.nodes[0].ctl.view.Jobs[u.sub.Ref].Done)
+		done += s.Len()
+	}
+	if done < 1500 {
+		t.Errorf("only %d tasks done", done)
+	}
+}
+
 // Without authority no worker gets a 200, however early its lease ends.
 func TestNoAnswerToWorkersWithoutAuthority(t *testing.T) {
 	w := newWorld(t, 13)
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -25,6 +26,9 @@
 	forgetSize  = 180 * model.Second
 )
 
+// bytesPerPiece is what a bound piece takes in its host's record at most.
+const bytesPerPiece = 64
+
 // leadership is what a controller has only while it leads. It is part of the
 // controller actor.
 type leadership struct {
@@ -67,7 +71,7 @@
 	c := l.c
 	w := c.set.Params.Workers
 	l.h = block.New(block.Params{Teams: c.teams, Report: model.Seconds(w.ReportS), Lease: model.Seconds(w.LeaseS),
-		GangWait: model.Seconds(w.GangWaitS), GangPeer: model.Seconds(w.GangPeerS), Margin: model.Second, Waits: c.set.Waits(), Finish: c.set.Finish()}, l.token)
+		GangWait: model.Seconds(w.GangWaitS), GangPeer: model.Seconds(w.GangPeerS), Margin: model.Second, MaxBound: int(c.set.Params.State.ValueKB * 1000 / bytesPerPiece), Waits: c.set.Waits(), Finish: c.set.Finish()}, l.token)
 	l.h.Log = logEvent
 	l.h.SetFlavors(c.view.Flavors)
 	for ref := range c.view.Jobs {
@@ -169,7 +173,7 @@
 	if n < 2 {
 		return
 	}
-	ws := l.h.Writes(n)
+	ws := l.fitting(l.h.Writes(n))
 	if len(ws) == 0 {
 		return
 	}
@@ -178,10 +182,30 @@
 		l.h.Committed(ws, c.now)
 		return
 	}
-	c.budget.Spend(len(t.Then), c.now)
 	c.send(laneHolder, msgCommitted{txn: t, writes: ws, token: l.token})
 }
 
+// maxTxnBytes keeps a transaction within the state service's 64 KiB, with room
+// for keys and guards.
+const maxTxnBytes = 48 << 10
+
+// fitting gives back what would make the transaction too large: the records of
+// jobs with very many tasks are large themselves.
+func (l *leadership) fitting(ws []block.Write) []block.Write {
+	size := 0
+	for i := range ws {
+		raw, err := json.Marshal(ws[i].Value)
+		if err != nil {
+			panic(err) // plain structs always marshal
+		}
+		if size += len(raw) + 200; size > maxTxnBytes && i > 0 {
+			l.h.Retry(ws[i:])
+			return ws[:i]
+		}
+	}
+	return ws
+}
+
 func (l *leadership) committed(m msgCommitted) {
 	c := l.c
 	if m.lane == laneMisc {
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -48,6 +48,9 @@
 	}
 	inYard, elsewhere := 0, 0
 	for n := range j.Pieces {
+		if !j.SamePlace && !j.Apart {
+			break
+		}
 		for o := range r.on[model.PieceID{Job: j.Ref, N: n}] {
 			if o.w.Yard == t.w.Yard {
 				inYard++
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -133,6 +133,9 @@
 	if len(t.Then) > s.TxnOps || len(t.Guards) > 4*s.TxnOps {
 		panic(fmt.Sprintf("transaction too large: %d changes, %d conditions", len(t.Then), len(t.Guards)))
 	}
+	if raw, err := json.Marshal(t); err != nil || len(raw) > 64<<10 {
+		panic(fmt.Sprintf("transaction of %d bytes, %v", len(raw), err))
+	}
 	s.Writes += len(t.Then)
 	res := &state.Result{Epoch: s.epoch}
 	for _, op := range t.Then {
