Displace others after a quarter of the start aim instead of two fifths

Cause: a displaced task's room comes free after two reports, and the image may follow; what is displaced at two fifths of the aim starts too late when both come.

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -638,7 +638,7 @@
 	}
 	w.Patience = func(j *model.JobState) model.Micros {
 		if p, ok := h.P.Waits[j.Class]; ok {
-			return p * 2 / 5
+			return p / 4
 		}
 		return 180 * model.Second
 	}
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -343,7 +343,7 @@
 	if w.Stop == nil || !w.pressed(j) {
 		return false
 	}
-	aim := w.Patience(j) * 5 / 2
+	aim := w.Patience(j) * 4
 	age := w.Now - j.SeenAt
 	if age > 2*aim {
 		return false
