Notice lost machines from one list, and ask refused offers again after 6 s

Change: a machine older than five list lags is gone when one list lacks it; lists every 1.5 s; refused offers again after 6 s.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -221,7 +221,7 @@
 
 // DefaultOperator is what holds where the operators' file says nothing.
 func DefaultOperator() *Operator {
-	return &Operator{ExtraCapacityRate: 0.1, LoopPeriodS: 10, Granularity: 5, BlockLeaseS: 30, RefusedPauseS: 15}
+	return &Operator{ExtraCapacityRate: 0.1, LoopPeriodS: 10, Granularity: 5, BlockLeaseS: 30, RefusedPauseS: 6}
 }
 
 // LoadOperator reads and checks the operators' file; an empty path gives the
--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -25,7 +25,7 @@
 
 // Defaults are the starting values.
 func Defaults() Params {
-	return Params{Rate: 0.1, Granularity: 5, LateBoots: 2.5, DeadBoots: 4, Refused: 15 * model.Second, MinHeld: 60 * model.Second,
+	return Params{Rate: 0.1, Granularity: 5, LateBoots: 2.5, DeadBoots: 4, Refused: 6 * model.Second, MinHeld: 60 * model.Second,
 		Dear: 5, HoldIdle: 300 * model.Second}
 }
 
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -18,7 +18,7 @@
 // Rhythm of the leader's dealings with the cloud.
 const (
 	flavorsGap  = 30 * model.Second
-	listGap     = 2500 * model.Millisecond
+	listGap     = 1500 * model.Millisecond
 	rentGapSoon = 500 * model.Millisecond
 	sweepGap    = 500 * model.Millisecond
 	placeGap    = 40 * model.Millisecond
@@ -441,6 +441,16 @@
 	slog.Info("give back", "host", h.Ref, "build", h.Build, "why", why)
 }
 
+// lists is how many lists in a row have to lack a machine until it is taken to
+// be gone. What has been listed stays listed until it is gone, but a list may be
+// older than the one before it, so a young machine may be missing from one.
+func (l *leadership) lists(h *model.Host) int {
+	if l.c.now-h.RentedAt > 5*model.Seconds(l.c.set.Params.Cloud.ListLagS) {
+		return 1
+	}
+	return 2
+}
+
 // clean returns machines that are of no use, and sends deletions.
 func (l *leadership) clean() {
 	c := l.c
@@ -451,7 +461,7 @@
 		case h.Deleting:
 		case h.Failed:
 			l.giveBack(h, "failed")
-		case l.missing[ref] >= 2 && silent > 2*l.h.P.Report:
+		case l.missing[ref] >= l.lists(h) && silent > 2*l.h.P.Report:
 			l.giveBack(h, "not listed any more")
 		case h.Up && h.Lost && silent > l.h.LeaseOver()+5*model.Second:
 			l.giveBack(h, "silent")
