Idle machines go back sooner, and placeholders rent only what is not dear

Change: half a boot time idle instead of a whole one; placeholders alone keep the cheapest machine 60 s instead of 300 and dearer ones less in proportion, and rent what is at most three times as dear as the cheapest.

--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -26,7 +26,7 @@
 // Defaults are the starting values.
 func Defaults() Params {
 	return Params{Rate: 0.1, Granularity: 5, LateBoots: 2.5, DeadBoots: 4, Refused: 6 * model.Second, MinHeld: 60 * model.Second,
-		Dear: 5, HoldIdle: 300 * model.Second}
+		Dear: 5, HoldIdle: 60 * model.Second}
 }
 
 // Demand is a number of waiting tasks of one job.
@@ -199,10 +199,10 @@
 			continue
 		}
 		// Placeholders are for any task to come, so they need an ordinary machine,
-		// and one that may stand idle long enough to be of use.
+		// and one that is not so dear that it soon goes back unused.
 		s := l.cheapest(in, fresh, p.size, 1, false, func(build, _ string, spot bool) bool {
 			f := in.Flavors[build]
-			return !spot && l.hold(in, f, spot) >= 2*model.Seconds(f.BootS)
+			return !spot && l.hold(in, f, spot) >= l.P.HoldIdle/3
 		})
 		if s == nil {
 			continue
@@ -414,7 +414,7 @@
 	for i, s := range slots {
 		f := in.Flavors[s.offer.Build]
 		if !s.h.Up || len(s.h.Bound) > 0 || s.used ||
-			in.Now-s.h.RentedAt < l.P.MinHeld || in.Now-s.h.EmptyAt < model.Seconds(f.BootS) {
+			in.Now-s.h.RentedAt < l.P.MinHeld || in.Now-s.h.EmptyAt < model.Seconds(f.BootS/2) {
 			continue
 		}
 		others := slices.Concat(slots[:i:i], slots[i+1:])
