Wrong settings and arguments exit with status 2 and name the field

Tried as a new user would: the status was 1, as the error was wrapped on its way, and a number that is none in the operators' file did not name its element.

--- a/cmd/woadweir/main.go
+++ b/cmd/woadweir/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -94,7 +95,7 @@
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "woadweir:", strings.ReplaceAll(err.Error(), "\n", " "))
-		if _, bad := err.(badSettings); bad {
+		if errors.As(err, new(badSettings)) {
 			os.Exit(2)
 		}
 		os.Exit(1)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,8 @@
 	"net/netip"
 	"os"
 	"slices"
+	"strconv"
+	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -212,11 +214,29 @@
 // Operator is the operators' own file.
 type Operator struct {
 	XMLName           xml.Name `xml:"woadweir"`
-	ExtraCapacityRate float64  `xml:"extra-capacity-rate"`
-	LoopPeriodS       float64  `xml:"loop-period-s"`
-	Granularity       int      `xml:"granularity"`
-	BlockLeaseS       float64  `xml:"block-lease-s"`
-	RefusedPauseS     float64  `xml:"refused-pause-s"`
+	ExtraCapacityRate Number   `xml:"extra-capacity-rate"`
+	LoopPeriodS       Number   `xml:"loop-period-s"`
+	Granularity       Number   `xml:"granularity"`
+	BlockLeaseS       Number   `xml:"block-lease-s"`
+	RefusedPauseS     Number   `xml:"refused-pause-s"`
+}
+
+// Number is a decimal number in an element; what is none is reported with the
+// element's name.
+type Number float64
+
+// UnmarshalXML reads the element.
+func (n *Number) UnmarshalXML(d *xml.Decoder, start xml.StartElement) error {
+	var text string
+	if err := d.DecodeElement(&text, &start); err != nil {
+		return err
+	}
+	v, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil {
+		return fmt.Errorf("%s: %q is not a number", start.Name.Local, text)
+	}
+	*n = Number(v)
+	return nil
 }
 
 // DefaultOperator is what holds where the operators' file says nothing.
@@ -239,12 +259,14 @@
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	if err := checkBounds([]bound{
-		{"extra-capacity-rate", o.ExtraCapacityRate, 0, 1, true},
-		{"loop-period-s", o.LoopPeriodS, 0.1, 600, true},
+		{"extra-capacity-rate", float64(o.ExtraCapacityRate), 0, 1, true},
+		{"loop-period-s", float64(o.LoopPeriodS), 0.1, 600, true},
 		{"granularity", float64(o.Granularity), 1, 100, true},
-		{"block-lease-s", o.BlockLeaseS, 2, 600, true},
-		{"refused-pause-s", o.RefusedPauseS, 0.1, 600, true},
-	}); err != nil {
+		{"block-lease-s", float64(o.BlockLeaseS), 2, 600, true},
+		{"refused-pause-s", float64(o.RefusedPauseS), 0.1, 600, true},
+	}); err == nil && o.Granularity != Number(int(o.Granularity)) {
+		return nil, fmt.Errorf("%s: granularity: %v is not a whole number", path, o.Granularity)
+	} else if err != nil {
 		return nil, fmt.Errorf("%s: %w", path, err)
 	}
 	return o, nil
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -112,6 +112,12 @@
 	if _, err := LoadOperator(path); err == nil || !strings.Contains(err.Error(), "granularity") {
 		t.Errorf("out of bounds: %v", err)
 	}
+	for _, bad := range []string{"x", "2.5", ""} {
+		write(`<woadweir><granularity>` + bad + `</granularity></woadweir>`)
+		if _, err := LoadOperator(path); err == nil || !strings.Contains(err.Error(), "granularity") {
+			t.Errorf("granularity %q: %v", bad, err)
+		}
+	}
 	write(`<other/>`)
 	if _, err := LoadOperator(path); err == nil {
 		t.Error("another document is taken")
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -60,7 +60,7 @@
 
 func newLeadership(c *controller, token uint64) *leadership {
 	p := slack.Defaults()
-	p.Rate, p.Granularity, p.Refused = c.op.ExtraCapacityRate, c.op.Granularity, model.Seconds(c.op.RefusedPauseS)
+	p.Rate, p.Granularity, p.Refused = float64(c.op.ExtraCapacityRate), int(c.op.Granularity), model.Seconds(float64(c.op.RefusedPauseS))
 	return &leadership{c: c, token: token, loop: slack.New(p), renting: map[string]cloud.Rental{}, sizes: map[model.Need]model.Micros{},
 		gone: map[string]model.Micros{}, missing: map[string]int{}, deleting: map[string]model.Micros{}}
 }
@@ -496,7 +496,7 @@
 // rentLoop is a round of the renting loop.
 func (l *leadership) rentLoop() {
 	c := l.c
-	l.lastLoop, l.nextLoop, l.loopSoon = c.now, c.now+model.Seconds(c.op.LoopPeriodS), false
+	l.lastLoop, l.nextLoop, l.loopSoon = c.now, c.now+model.Seconds(float64(c.op.LoopPeriodS)), false
 	if len(l.h.Flavors) == 0 || l.seenLists == 0 {
 		// Before the first list it may seem that nothing is rented.
 		l.loopSoon = true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,7 +41,7 @@
 		return err
 	}
 	w := set.Params.Workers
-	spans := lead.Settle(model.Seconds(op.BlockLeaseS), model.Seconds(w.LeaseS), model.Seconds(w.ReportS), model.Seconds(w.CancelS))
+	spans := lead.Settle(model.Seconds(float64(op.BlockLeaseS)), model.Seconds(w.LeaseS), model.Seconds(w.ReportS), model.Seconds(w.CancelS))
 	slog.Info("start", "node", set.NodeName, "session_s", spans.TTL.Seconds())
 
 	g, ctx := errgroup.WithContext(ctx)
