--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -464,3 +464,39 @@
 		t.Fatal("new work goes to the slow machine")
 	}
 }
+
+// A gang that its team's limit keeps waiting is not overtaken by single tasks of
+// the team for ever, and has them stopped once it is late.
+func TestGangIsOwedItsTeamsLimit(t *testing.T) {
+	h := newHolder(5)
+	h.P.Waits = map[string]model.Micros{"hot": 40 * sec}
+	h.AddJob(job("j-1", 30, model.Sweep), model.Set{}, "", 0, 0)
+	for _, ref := range []string{"h1", "h2", "h3", "h4", "h5"} {
+		newWorker(h, ref, "box", "a").says(sec, 5)
+	}
+	if h.Used["red"].Cores != 8000 {
+		t.Fatal("the team is not at its limit")
+	}
+	hot := job("j-2", 2, model.Gang)
+	hot.Rank, hot.Class, hot.Need.Cores = model.Urgent, "hot", 2000
+	js := h.AddJob(hot, model.Set{}, "", sec, 0)
+	h.complete(model.PieceID{Job: "j-1"}, nil, 2*sec)
+	h.unbind(h.Jobs["j-1"].Bound[0][0], "ended: done", 2*sec)
+	h.Place(2 * sec)
+	if got := h.Used["red"].Cores; got != 7000 {
+		t.Fatalf("%d used: what came free went to a single task", got)
+	}
+	for _, m := range h.Hosts {
+		m.Heard = 12 * sec
+	}
+	h.Place(12 * sec)
+	stops := 0
+	for _, bs := range h.Jobs["j-1"].Bound {
+		if bs[0].Stop {
+			stops++
+		}
+	}
+	if stops != 3 || len(js.Bound) != 0 {
+		t.Fatalf("%d stopped, want three more cores within the limit", stops)
+	}
+}
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -35,6 +35,7 @@
 	// for it.
 	Patience func(j *model.JobState) model.Micros
 
+	owed    map[string]model.Need      // room within team limits, kept for gangs served earlier
 	kept    map[*model.Host]model.Need // room kept for jobs served earlier
 	reserve map[*model.Host]model.Need // room beside free GPUs, kept for GPU tasks
 }
@@ -251,12 +252,17 @@
 func (w *World) Round() {
 	w.Sort()
 	w.kept = map[*model.Host]model.Need{}
+	w.owed = map[string]model.Need{}
 	w.spare()
 	for _, j := range w.Jobs {
 		if j.Ended != "" || j.EndWanted || len(j.Waiting) == 0 || w.Now < j.NotBefore {
 			continue
 		}
 		kept := false
+		if j.Shape == model.Gang && w.teamRoom(j, j.Pieces) < j.Pieces {
+			w.claim(j)
+			continue
+		}
 		if j.Shape == model.Gang {
 			kept = w.gang(j)
 		} else {
@@ -274,7 +280,7 @@
 	if t == nil {
 		return 0
 	}
-	room := t.Max.Minus(w.Used[j.Owner])
+	room := t.Max.Minus(w.Used[j.Owner]).Minus(w.owed[j.Owner])
 	n := j.Need
 	n.Mem = 0
 	return n.Count(room, limit)
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -24,6 +24,7 @@
 		h       *model.Host
 		victims []*model.Bound
 		cost    model.Micros
+		now     bool // the room is free already, but was kept for GPU tasks
 	}
 	var options []option
 	for _, h := range w.Hosts {
@@ -51,8 +52,10 @@
 			}
 			return cmp.Compare(a.Try, b.Try)
 		})
+		really := w.free(h)
 		for range n {
-			o := option{h: h, cost: fetch}
+			o := option{h: h, cost: fetch, now: j.Need.Fits(really)}
+			really = really.Minus(j.Need)
 			for len(victims) > 0 && !j.Need.Fits(free) {
 				free = free.Plus(victims[0].Job.Need)
 				o.cost += w.loss(victims[0])
@@ -93,6 +96,17 @@
 		return false
 	}
 	late := w.late(j)
+	if late && !slices.ContainsFunc(chosen, func(o option) bool { return !o.now }) {
+		// Nobody has to be stopped: it is only that GPU tasks were to have the room.
+		try := w.NextTry()
+		for _, o := range chosen {
+			w.Bind(j, j.Waiting[0], o.h, try)
+			if j.Shape != model.Gang {
+				try = w.NextTry()
+			}
+		}
+		return true
+	}
 	for _, o := range chosen {
 		if len(o.victims) > 0 && !late {
 			continue
@@ -105,6 +119,57 @@
 	return len(chosen) == n
 }
 
+// claim keeps what a gang needs within its team's limit from jobs that are served
+// later: single tasks would take whatever comes free, for ever. When the gang is
+// late, tasks of its own team and of lower rank are stopped for it.
+func (w *World) claim(j *model.JobState) {
+	t := w.Teams[j.Owner]
+	if t == nil || len(j.Bound) > 0 || len(j.Waiting) != j.Pieces {
+		return
+	}
+	need := j.Need.Times(j.Pieces)
+	w.owed[j.Owner] = w.owed[j.Owner].Plus(need)
+	if w.Stop == nil || !w.late(j) {
+		return
+	}
+	room := t.Max.Minus(w.Used[j.Owner]).Minus(w.owed[j.Owner])
+	var victims []*model.Bound
+	for _, h := range w.Hosts {
+		for _, b := range h.Bound {
+			switch {
+			case b.Job.Owner != j.Owner:
+			case b.Stop:
+				room = room.Plus(b.Job.Need)
+			case b.Job.Rank < j.Rank && b.Job.Shape != model.Gang:
+				victims = append(victims, b)
+			}
+		}
+	}
+	slices.SortFunc(victims, func(a, b *model.Bound) int {
+		if c := cmp.Compare(w.loss(a), w.loss(b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Try, b.Try)
+	})
+	var stop []*model.Bound
+	for _, b := range victims {
+		if room.Cores >= 0 && room.GPUs >= 0 {
+			break
+		}
+		if room.Cores >= 0 && b.Job.Need.GPUs == 0 {
+			continue // it is GPUs that are missing
+		}
+		room = room.Plus(b.Job.Need)
+		stop = append(stop, b)
+	}
+	if room.Cores < 0 || room.GPUs < 0 {
+		return // not even that would do
+	}
+	for _, b := range stop {
+		w.Stop(b, "limit of "+j.Owner+" for "+j.Ref)
+	}
+}
+
 // gpuValue is what a GPU counts beside a core when work is weighed.
 const gpuValue = 10
 
