Let room come free by itself for a gang before others are stopped

Change: from its first round on, room that comes free where least would be lost is kept for a waiting gang; others are stopped only once it is late, which for start aims of 20 s and more is after two fifths again.

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -638,7 +638,10 @@
 	}
 	w.Patience = func(j *model.JobState) model.Micros {
 		if p, ok := h.P.Waits[j.Class]; ok {
-			return p / 4
+			if p < 20*model.Second {
+				return p / 4
+			}
+			return p * 2 / 5
 		}
 		return 180 * model.Second
 	}
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -108,11 +108,12 @@
 		return true
 	}
 	for _, o := range chosen {
-		if len(o.victims) > 0 && !late {
-			continue
-		}
-		for _, b := range o.victims {
-			w.Stop(b, "room for "+j.Ref)
+		// Until the job is late, the room only comes free by itself, as nothing
+		// that is served later gets it.
+		if late {
+			for _, b := range o.victims {
+				w.Stop(b, "room for "+j.Ref)
+			}
 		}
 		w.kept[o.h] = w.kept[o.h].Plus(j.Need)
 	}
