Two tests that did not fail without what they guard

The gang's team had no room for a second attempt beside the first, and the leader without authority had resigned already.

--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -259,8 +259,9 @@
 // attempt waits until the old one is wholly gone.
 func TestGangAttempts(t *testing.T) {
 	h := newHolder(5)
-	js := h.AddJob(job("j-1", 2, model.Gang), model.Set{}, "", 0, 0)
-	js.Need.Cores = 3000 // one to a box
+	j := job("j-1", 2, model.Gang)
+	j.Owner, j.Need.Cores = "blue", 3000 // one to a box
+	js := h.AddJob(j, model.Set{}, "", 0, 0)
 	w1, w2 := newWorker(h, "h1", "box", "a"), newWorker(h, "h2", "box", "a")
 	if w1.says(sec, 5); len(js.Bound) != 0 {
 		t.Fatal("part of a gang was bound")
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -357,6 +357,11 @@
 	w.until(5*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
 	n := w.leader()
 	spans := n.ctl.auth.Spans
+	for _, o := range w.nodes {
+		if o != n {
+			o.crash() // nobody is there to resign to
+		}
+	}
 	n.setCut(dropped)
 	w.Run(w.Now + spans.TTL + model.Second)
 	reply := make(chan workerAnswer, 1)
