Drop what nothing reads, and say twice-written things once

A parameter, a setting and two counters were never read, one condition always held; tasks were sorted by loss in two places, and the block tests started their first tasks in five. Behaviour is as before.

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -18,7 +18,6 @@
 	Report   model.Micros
 	Lease    model.Micros
 	GangWait model.Micros
-	GangPeer model.Micros
 	MaxBound int                       // pieces on one machine, so that its record fits a value; 0: no bound
 	Waits    map[string]model.Micros   // by class: the time within which its tasks are to start
 	Finish   map[string][]model.Micros // by class: the times within which its jobs are to be done, ascending
@@ -339,7 +338,7 @@
 			// Never started by us, or the response was dropped: a worker acts on no
 			// response but the one to its last report, and this report is newer.
 			h.unbind(b, "newer report without it, not wanted", now)
-		case sent && now-b.At > h.P.GangWait && len(m.Bound) > 0:
+		case sent && now-b.At > h.P.GangWait:
 			h.unbind(b, "start never took", now)
 		}
 	}
@@ -353,10 +352,6 @@
 	if b.Status != model.Running && p.Status == model.Running {
 		b.RunAt = now
 		h.Log(Event{What: "runs", Host: m.Ref, Piece: b.ID.String(), Try: b.Try})
-		js := h.Jobs[b.ID.Job]
-		if js.FirstRun == 0 {
-			js.FirstRun = now
-		}
 	}
 	b.Status = p.Status
 	if p.Status == model.Running || p.Status == model.Gathering || p.Cause == "done" {
@@ -378,7 +373,6 @@
 	case "done":
 		h.complete(p.ID, b, now)
 		m.Errors = 0
-		m.Done++
 		h.unbind(b, "ended: done", now)
 		return
 	case "error":
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -14,7 +14,7 @@
 			"red":  {Name: "red", Guaranteed: model.Need{Cores: 8000}, Max: model.Need{Cores: 8000}},
 			"blue": {Name: "blue", Max: model.Need{Cores: 100_000, GPUs: 8000}},
 		},
-		Report: 5 * sec / 2, Lease: 18 * sec, GangWait: 30 * sec, GangPeer: 5 * sec, Margin: sec,
+		Report: 5 * sec / 2, Lease: 18 * sec, GangWait: 30 * sec, Margin: sec,
 	}, token)
 	h.SetFlavors([]model.Flavor{
 		{Label: "box", Cores: 4, MemoryGB: 16, CacheGB: 50, FetchGBps: 1, Price: 1, LowPrice: 0.5, BootS: 10, Yards: []string{"a", "b"}},
@@ -51,6 +51,14 @@
 	return v, w.h.Orders(&r, now)
 }
 
+// starts has the worker report with nothing on it, and again once what was bound
+// then is durable: it is told to start that.
+func (w *worker) starts() {
+	w.says(sec, w.h.Token)
+	write(w.h, sec)
+	w.says(2*sec, w.h.Token)
+}
+
 // write makes everything that waits durable.
 func write(h *Holder, now model.Micros) (keys []string) {
 	for h.Queued() > 0 {
@@ -120,9 +128,7 @@
 	h := newHolder(5)
 	h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 0, 0)
 	w := newWorker(h, "h1", "box", "a")
-	w.says(sec, 5)
-	write(h, sec)
-	w.says(2*sec, 5)
+	w.starts()
 	b := bound(h, "h1")
 	w.says(3*sec, 5, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
 	late := w.r
@@ -195,9 +201,7 @@
 	h := newHolder(5)
 	js := h.AddJob(job("j-1", 2, model.Sweep), model.Set{}, "", 0, 0)
 	w := newWorker(h, "h1", "box", "a")
-	w.says(sec, 5)
-	write(h, sec)
-	w.says(2*sec, 5)
+	w.starts()
 	b := js.Bound[0][0]
 	done := Piece{ID: b.ID, Try: b.Try, Status: model.Ended, Cause: "done"}
 	other := Piece{ID: js.Bound[1][0].ID, Try: js.Bound[1][0].Try, Status: model.Running}
@@ -223,9 +227,7 @@
 	h := newHolder(5)
 	js := h.AddJob(job("j-1", 2, model.Sweep), model.Set{}, "", 0, 0)
 	w := newWorker(h, "h1", "box", "a")
-	w.says(sec, 5)
-	write(h, sec)
-	w.says(2*sec, 5)
+	w.starts()
 	for n := range 2 { // the second is still on its machine when the job ends
 		h.complete(model.PieceID{Job: "j-1", N: n}, nil, 3*sec)
 	}
@@ -244,9 +246,7 @@
 	h := newHolder(5)
 	h.AddJob(job("j-1", 2, model.Sweep), model.Set{}, "", 0, 0)
 	w := newWorker(h, "h1", "box", "a")
-	w.says(sec, 5)
-	write(h, sec)
-	w.says(2*sec, 5)
+	w.starts()
 	b := bound(h, "h1")
 	h.EndJob("j-1", "withdrawn", 2*sec)
 	_, orders := w.says(3*sec, 5, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
@@ -408,9 +408,7 @@
 	low.Rank, low.Owner = model.Idle, "blue"
 	h.AddJob(low, model.Set{}, "", 0, 0)
 	w := newWorker(h, "h1", "box", "a")
-	w.says(sec, 5)
-	write(h, sec)
-	w.says(2*sec, 5)
+	w.starts()
 	hot := job("j-2", 1, model.Gang)
 	hot.Rank, hot.Class = model.Urgent, "hot"
 	hot.Need.Cores = 2000
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -142,7 +142,6 @@
 	SlowUntil     Micros // it seemed slow lately: other machines are preferred until then
 	Errors        int    // errors in a row
 	ErrorJobs     map[string]bool
-	Done          int // tasks completed
 	Listed        bool
 	Failed        bool
 	Cache         []string // images, most recently used last
@@ -206,7 +205,6 @@
 	NotBefore  Micros
 	ErrorHosts map[string]bool
 	SeenAt     Micros
-	FirstRun   Micros
 }
 
 // BoundCount is the number of bound pieces, old attempts included.
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -46,12 +46,7 @@
 				victims = append(victims, b)
 			}
 		}
-		slices.SortFunc(victims, func(a, b *model.Bound) int {
-			if c := cmp.Compare(w.loss(a), w.loss(b)); c != 0 {
-				return c
-			}
-			return cmp.Compare(a.Try, b.Try)
-		})
+		w.byLoss(victims)
 		really := w.free(h)
 		for range n {
 			o := option{h: h, cost: fetch, now: j.Need.Fits(really)}
@@ -146,12 +141,7 @@
 			}
 		}
 	}
-	slices.SortFunc(victims, func(a, b *model.Bound) int {
-		if c := cmp.Compare(w.loss(a), w.loss(b)); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.Try, b.Try)
-	})
+	w.byLoss(victims)
 	var stop []*model.Bound
 	for _, b := range victims {
 		if room.Cores >= 0 && room.GPUs >= 0 {
@@ -179,6 +169,16 @@
 	return model.Micros(n.Cores+gpuValue*n.GPUs) / 1000
 }
 
+// byLoss sorts tasks by the work that is lost when they are stopped, least first.
+func (w *World) byLoss(bs []*model.Bound) {
+	slices.SortFunc(bs, func(a, b *model.Bound) int {
+		if c := cmp.Compare(w.loss(a), w.loss(b)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Try, b.Try)
+	})
+}
+
 // loss is the work that is lost when a task is stopped.
 func (w *World) loss(b *model.Bound) model.Micros {
 	if b.RunAt == 0 {
--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -11,7 +11,7 @@
 	"woadweir/internal/core/model"
 )
 
-// Params are the operators' own settings of the loop.
+// Params are the settings of the loop, some of them the operators' own.
 type Params struct {
 	Rate        float64 // min_extra_capacity_rate
 	Granularity int
@@ -213,7 +213,7 @@
 	}
 	out.Rent = calls(fresh)
 	if in.CloudOK {
-		out.GiveBack = l.giveBack(in, slots, out.Homeless > 0)
+		out.GiveBack = l.giveBack(in, slots)
 	}
 	for _, p := range l.holders {
 		// Machines to come have no name yet: their placeholders seek again.
@@ -407,7 +407,7 @@
 // giveBack chooses empty machines that are not needed: no waiting task was put
 // there, its placeholders find room elsewhere, and keeping it for the next work
 // would by now have cost more than renting anew.
-func (l *Loop) giveBack(in *Input, slots []*slot, short bool) (back []*model.Host) {
+func (l *Loop) giveBack(in *Input, slots []*slot) (back []*model.Host) {
 	slices.SortStableFunc(slots, func(a, b *slot) int {
 		return cmp.Compare(in.Flavors[b.offer.Build].PriceOf(b.offer.Spot), in.Flavors[a.offer.Build].PriceOf(a.offer.Spot))
 	})
