--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -48,7 +48,7 @@
 		}
 		w.byLoss(victims)
 		really := w.free(h)
-		for range n {
+		for range min(n, w.slots(h)) {
 			o := option{h: h, cost: fetch, now: j.Need.Fits(really)}
 			really = really.Minus(j.Need)
 			for len(victims) > 0 && !j.Need.Fits(free) {
