--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -437,26 +437,32 @@
 
 // --- users
 
-func (c *controller) poll(m msgPoll) {
-	if end, ok := c.view.Final(m.ref); ok {
-		// An end never changes: it may be told at any time.
-		m.reply <- c.pollAnswer(m.ref, end)
-		return
-	}
+// caughtUp runs f once the view has caught up with everything up to now, or
+// answers that the state service is not reached.
+func (c *controller) caughtUp(reply chan<- userapi.Answer, f func()) {
 	if c.stateBad {
-		m.reply <- c.unreached()
+		reply <- c.unreached()
 		return
 	}
 	c.afterSync(func(ok bool) {
 		if !ok {
-			m.reply <- c.unreached()
+			reply <- c.unreached()
 			return
 		}
-		m.reply <- c.pollAnswer(m.ref, "")
+		f()
 	})
 }
 
-func (c *controller) pollAnswer(ref, _ string) userapi.Answer {
+func (c *controller) poll(m msgPoll) {
+	if _, ok := c.view.Final(m.ref); ok {
+		// An end never changes: it may be told at any time.
+		m.reply <- c.pollAnswer(m.ref)
+		return
+	}
+	c.caughtUp(m.reply, func() { m.reply <- c.pollAnswer(m.ref) })
+}
+
+func (c *controller) pollAnswer(ref string) userapi.Answer {
 	status, done, running, known := c.view.Status(ref)
 	if !known {
 		return userapi.Error(404, "no such job", 0)
@@ -479,11 +485,7 @@
 		return
 	}
 	if known {
-		c.afterSync(func(ok bool) {
-			if !ok {
-				m.reply <- c.unreached()
-				return
-			}
+		c.caughtUp(m.reply, func() {
 			status, _, _, _ := c.view.Status(m.ref)
 			m.reply <- userapi.Accepted(200, m.ref, status)
 		})
@@ -518,11 +520,7 @@
 // refuseUnknown refuses a submission, unless its job turns out to be known: a
 // known job is never answered 400 or 422, whatever its repetition says.
 func (c *controller) refuseUnknown(m msgSubmit, code int, why string) {
-	c.afterSync(func(ok bool) {
-		if !ok {
-			m.reply <- c.unreached()
-			return
-		}
+	c.caughtUp(m.reply, func() {
 		if status, _, _, known := c.view.Status(m.ref); known {
 			m.reply <- userapi.Accepted(200, m.ref, status)
 			return
@@ -536,15 +534,7 @@
 		m.reply <- userapi.Accepted(200, m.ref, end)
 		return
 	}
-	if c.stateBad {
-		m.reply <- c.unreached()
-		return
-	}
-	c.afterSync(func(ok bool) {
-		if !ok {
-			m.reply <- c.unreached()
-			return
-		}
+	c.caughtUp(m.reply, func() {
 		if end, ok := c.view.Final(m.ref); ok {
 			m.reply <- userapi.Accepted(200, m.ref, end)
 			return
--- /dev/null
+++ b/internal/userapi/userapi_test.go
@@ -0,0 +1,28 @@
+package userapi
+
+import "testing"
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct {
+		method, path string
+		route        Route
+		ref          string
+	}{
+		{"POST", "/work", Submit, ""}, {"GET", "/work", None, ""}, {"GET", "/work/j-1", Poll, "j-1"}, {"POST", "/work/j-1", None, ""},
+		{"POST", "/work/j-1/withdraw", Withdraw, "j-1"}, {"GET", "/work/j-1/withdraw", None, ""}, {"GET", "/work/", None, ""},
+		{"POST", "/work//withdraw", None, ""}, {"GET", "/up", Up, ""}, {"POST", "/up", None, ""}, {"GET", "/", None, ""},
+	} {
+		if route, ref := Parse(c.method, c.path); route != c.route || route != None && ref != c.ref {
+			t.Errorf("%s %s: %v %q", c.method, c.path, route, ref)
+		}
+	}
+}
+
+func TestBodies(t *testing.T) {
+	if got := string(State("j-1", "running", 0, 13).Body); got != `{"ref":"j-1","status":"running","done":0,"running":13}` {
+		t.Error(got)
+	}
+	if got := string(Accepted(201, "j-1", "pending").Body); got != `{"ref":"j-1","status":"pending"}` {
+		t.Error(got)
+	}
+}
--- /dev/null
+++ b/internal/workerapi/workerapi_test.go
@@ -0,0 +1,45 @@
+package workerapi
+
+import (
+	"testing"
+
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/model"
+)
+
+func TestReport(t *testing.T) {
+	r, err := ParseReport([]byte(`{"host":"host-000231","address":"10.1.0.232:9000","build":"g8","yard":"a","loaners":true,
+		"tenure":1,"tally":88,"warrant":41,"recallS":7.5,"new":{},
+		"pieces":[{"piece":"j-000412/3","try":2,"status":"running"},{"piece":"j-000398/0","try":1,"status":"ended","cause":"done"}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Tally != 88 || r.Warrant != 41 || !r.Spot || !r.Recall || r.RecallIn != 7_500_000 || len(r.Pieces) != 2 {
+		t.Errorf("%+v", r)
+	}
+	if p := r.Pieces[1]; p.ID != (model.PieceID{Job: "j-000398"}) || p.Status != model.Ended || p.Cause != "done" {
+		t.Errorf("%+v", p)
+	}
+	if r, err = ParseReport([]byte(`{"host":"h","tenure":1,"recallS":null}`)); err != nil || r.Recall {
+		t.Errorf("%+v, %v", r, err)
+	}
+	for _, bad := range []string{``, `[]`, `{"tenure":1}`, `{"host":"h"}`} {
+		if _, err := ParseReport([]byte(bad)); err == nil {
+			t.Errorf("%q is taken", bad)
+		}
+	}
+}
+
+func TestAnswer(t *testing.T) {
+	id := model.PieceID{Job: "j-000377", N: 1}
+	got := string(Answer(41, []block.Order{{Verb: "start", Piece: id, Try: 2}, {Verb: "stop", Piece: id, Try: 1, Leeway: 10 * model.Second},
+		{Verb: "stop", Piece: id, Try: 1}, {Verb: "clear", Piece: id, Try: 1}}))
+	want := `{"warrant":41,"orders":[{"verb":"start","piece":"j-000377/1","try":2},{"verb":"stop","piece":"j-000377/1","try":1,"leewayS":10},` +
+		`{"verb":"stop","piece":"j-000377/1","try":1,"leewayS":0},{"verb":"clear","piece":"j-000377/1","try":1}]}`
+	if got != want {
+		t.Errorf("%s\nwant %s", got, want)
+	}
+	if got := string(Answer(1, nil)); got != `{"warrant":1,"orders":[]}` {
+		t.Error(got)
+	}
+}
