--- /dev/null
+++ b/internal/core/block/bench_test.go
@@ -0,0 +1,121 @@
+package block
+
+import (
+	"fmt"
+	"testing"
+
+	"woadweir/internal/core/model"
+)
+
+// bigFleet is a holder with 600 machines, nearly full, and 10,000 waiting tasks.
+func bigFleet() (h *Holder, workers []*worker) {
+	h = New(Params{
+		Teams: map[string]*model.Team{
+			"red":  {Name: "red", Guaranteed: model.Need{Cores: 9_000_000, GPUs: 700_000}, Max: model.Need{Cores: 30_000_000, GPUs: 2_500_000}},
+			"blue": {Name: "blue", Guaranteed: model.Need{Cores: 9_000_000}, Max: model.Need{Cores: 30_000_000}},
+		},
+		Report: 5 * sec / 2, Lease: 18 * sec, GangWait: 30 * sec, Margin: sec, MaxValue: 28_000, MaxBound: 250,
+		Waits: map[string]model.Micros{"gang": 30 * sec},
+	}, 5)
+	h.SetFlavors([]model.Flavor{
+		{Label: "box", Cores: 16, MemoryGB: 64, CacheGB: 60, FetchGBps: 0.2, Price: 0.86, LowPrice: 0.2, BootS: 20, Yards: []string{"a"}},
+		{Label: "gpu", Cores: 96, GPUs: 8, MemoryGB: 384, CacheGB: 80, FetchGBps: 0.6, Price: 27, LowPrice: 6.9, BootS: 25, Yards: []string{"a"}}})
+	for i := range 600 {
+		build := "box"
+		if i%2 == 0 {
+			build = "gpu"
+		}
+		w := newWorker(h, fmt.Sprintf("host-%06d", i), build, "a")
+		w.r.Spot = i%5 < 2
+		workers = append(workers, w)
+	}
+	ref := 0
+	add := func(pieces int, shape model.Shape, need model.Need, class, owner string) {
+		ref++
+		j := &model.Job{Ref: fmt.Sprintf("j-%06d", ref), Class: class, Owner: owner, Shape: shape, Rank: model.Idle, Pieces: pieces,
+			Need: need, Image: fmt.Sprintf("img-%d", ref%6), ImageGB: 4, Guess: 60 * sec, Loaners: shape == model.Sweep}
+		if shape == model.Gang {
+			j.Rank, j.Loaners, j.Keepsake, j.Stow = model.Urgent, false, 15*sec, 5*sec
+		}
+		h.AddJob(j, model.Set{}, "", 0, 0)
+	}
+	for range 70 {
+		add(6, model.Gang, model.Need{Cores: 15_000, Mem: 51_000}, "gang", "blue")
+	}
+	for range 320 {
+		add(40, model.Sweep, model.Need{Cores: 10_000, GPUs: 1000, Mem: 36_000}, "array", "red")
+	}
+	for range 2 {
+		for _, w := range workers {
+			w.tally++
+			r := w.r
+			r.Tally, r.Warrant = w.tally, 5
+			h.Take(&r, sec)
+		}
+	}
+	for range 3 {
+		h.Place(sec, true)
+	}
+	write(h, sec)
+	for _, w := range workers {
+		w.report(2 * sec)
+	}
+	return h, workers
+}
+
+// report has the worker say that all that is bound runs.
+func (w *worker) report(now model.Micros) *Report {
+	w.tally++
+	r := w.r
+	r.Tally, r.Warrant, r.Pieces = w.tally, 5, nil
+	for id, b := range w.h.Hosts[w.r.Host].Bound {
+		r.Pieces = append(r.Pieces, Piece{ID: id, Try: b.Try, Status: model.Running})
+	}
+	w.h.Take(&r, now)
+	return &r
+}
+
+func BenchmarkPlace(b *testing.B) {
+	h, ws := bigFleet()
+	waiting := 0
+	for _, j := range h.Jobs {
+		waiting += len(j.Waiting)
+	}
+	b.ReportMetric(float64(waiting), "waiting")
+	for i := range b.N {
+		now := 3*sec + model.Micros(i)*100*model.Millisecond
+		for _, w := range ws {
+			h.Hosts[w.r.Host].Heard = now
+		}
+		// A few tasks end between two rounds.
+		for k := range 4 {
+			m := h.Hosts[ws[(i*7+k*151)%len(ws)].r.Host]
+			for _, x := range m.Bound {
+				if x.Job.Shape == model.Sweep {
+					h.unbind(x, "ended", now)
+					break
+				}
+			}
+		}
+		h.Place(now, i%6 == 0)
+	}
+}
+
+func BenchmarkReport(b *testing.B) {
+	_, ws := bigFleet()
+	for i := range b.N {
+		w := ws[i%len(ws)]
+		now := 3*sec + model.Micros(i)*4*model.Millisecond
+		w.h.Orders(w.report(now), now)
+	}
+}
+
+func BenchmarkWrites(b *testing.B) {
+	h, ws := bigFleet()
+	for i := range b.N {
+		for k := range 8 {
+			h.touch(h.Hosts[ws[(i*31+k*71)%len(ws)].r.Host])
+		}
+		h.Committed(h.Writes(16, 48<<10), sec)
+	}
+}
--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -47,12 +47,15 @@
 // Verdict is what to do with a report.
 type Verdict uint8
 
-// Verdicts: Taken reports get a 200, Stale ones are late copies, and Deposed
-// means that the worker knows a higher token than ours.
+// Verdicts: Taken reports get a 200, Stale ones are late copies, Deposed means
+// that the worker knows a higher token than ours, and Greeted ones, of machines
+// that nobody expected, are answered with our token alone: if it is no old copy,
+// the next report will show that token.
 const (
 	Taken Verdict = iota
 	Stale
 	Deposed
+	Greeted
 )
 
 // Order is a command to a worker.
@@ -89,13 +92,15 @@
 	copies map[string]int // entry -> how many slots hold some version of it
 	pinned []int          // slots whose last write may yet be carried out late
 	runs   map[string]*runStat
+
+	keeps map[*model.JobState][]place.Keep
 }
 
 // New makes a holder with nothing in it.
 func New(p Params, token uint64) *Holder {
 	return &Holder{P: p, Token: token, Jobs: map[string]*model.JobState{}, Hosts: map[string]*model.Host{},
 		Used: map[string]model.Need{}, Flavors: map[string]*model.Flavor{}, Log: func(Event) {},
-		queued: map[string]bool{}, liveAt: map[string]int{}, copies: map[string]int{}, runs: map[string]*runStat{}}
+		queued: map[string]bool{}, liveAt: map[string]int{}, copies: map[string]int{}, runs: map[string]*runStat{}, keeps: map[*model.JobState][]place.Keep{}}
 }
 
 // NextTry gives an attempt number that no start has ever carried: the token is
@@ -209,6 +214,7 @@
 	}
 	delete(m.Bound, b.ID)
 	m.Used = m.Used.Minus(b.Job.Need)
+	m.Changed = true
 	if len(m.Bound) == 0 {
 		m.EmptyAt = now
 	}
@@ -296,6 +302,10 @@
 		return Deposed
 	}
 	m := h.Hosts[r.Host]
+	if m == nil && r.Warrant != h.Token {
+		// Perhaps the copy of a report of a machine that is long gone.
+		return Greeted
+	}
 	if m == nil {
 		m = h.AddHost(r.Host, r.Build, r.Yard, r.Spot, now)
 		h.Log(Event{What: "appeared", Host: r.Host})
@@ -307,8 +317,10 @@
 		// A late copy must not move knowledge back.
 		return Stale
 	}
+	h.judgeHearing(m, r, now)
+	m.Changed = m.Changed && m.Hears // what a report of a deaf machine made room for waits
 	if !m.Up {
-		m.Up, h.NeedPlace = true, true
+		m.Up, m.Changed, h.NeedPlace = true, true, true
 		h.Log(Event{What: "up", Host: m.Ref})
 	}
 	m.Lost = false
@@ -349,12 +361,45 @@
 	return Taken
 }
 
+// judgeHearing tells from a report whether our answer to the one before reached
+// the worker: it bears our token, comes as soon as after an answer, in the same
+// session, and shows what that answer started. One whose answer got lost goes to
+// another controller first, after a pause. A machine whose reports arrive while
+// nothing reaches it ends its tasks with its lease, session after session.
+func (h *Holder) judgeHearing(m *model.Host, r *Report, now model.Micros) {
+	was := m.Hears
+	m.Hears = r.Warrant == h.Token && r.Tenure == m.Tenure && now-m.Heard <= h.P.Report*5/4+model.Second
+	if m.Hears {
+		for _, b := range m.Bound {
+			if b.SentTenure == m.Tenure && b.SentTally == m.Tally && !slices.ContainsFunc(r.Pieces, func(p Piece) bool { return p.ID == b.ID && p.Try == b.Try }) {
+				m.Hears = false
+				break
+			}
+		}
+	}
+	switch {
+	case m.Hears:
+		m.MuteSince = 0
+	case m.MuteSince == 0:
+		m.MuteSince = now
+	}
+	if m.Hears && !was {
+		m.Changed, h.NeedPlace = true, true
+	}
+}
+
+// Deaf tells that a machine goes on reporting, but has not heard us for longer
+// than its tasks can have lived without an answer.
+func (h *Holder) Deaf(m *model.Host, now model.Micros) bool {
+	return m.MuteSince != 0 && now-m.MuteSince > h.LeaseOver()+2*h.P.Report && now-m.Heard < h.LeaseOver()
+}
+
 // progress takes the reported state of a bound piece.
 func (h *Holder) progress(b *model.Bound, p *Piece, now model.Micros) {
 	m := b.Host
 	b.Seen = true
 	if b.Status != model.Running && p.Status == model.Running {
-		b.RunAt = now
+		b.RunAt, h.Jobs[b.ID.Job].Begun = now, true
 		h.Log(Event{What: "runs", Host: m.Ref, Piece: b.ID.String(), Try: b.Try})
 	}
 	b.Status = p.Status
@@ -588,6 +633,8 @@
 			h.Log(Event{What: "lost", Host: m.Ref})
 		}
 	}
+	// Time alone makes jobs late.
+	h.NeedPlace = true
 }
 
 // World is what a placement round looks at.
@@ -643,15 +690,19 @@
 		}
 		return 180 * model.Second
 	}
+	w.Left = func(b *model.Bound) model.Micros { return h.Remaining(b, now) }
 	w.Due = func(j *model.JobState) model.Micros { return h.due(j, now) }
 	w.Bind = func(j *model.JobState, n int, m *model.Host, try uint64) { h.bind(j, n, m, try, now) }
 	return w
 }
 
-// Place runs a placement round.
-func (h *Holder) Place(now model.Micros) {
+// Place runs a placement round. One that displaces also looks for work to be
+// stopped, which takes longer.
+func (h *Holder) Place(now model.Micros, displace bool) {
 	h.NeedPlace = false
-	h.World(now).Round()
+	w := h.World(now)
+	w.Keeps, w.Displace = h.keeps, displace
+	w.Round()
 }
 
 // Settle drops what a takeover found ended already, once everything has been
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -39,7 +39,14 @@
 }
 
 // says has the worker report these pieces, and returns the commands it gets.
+// One that has not reported for a while has first to show that it hears.
 func (w *worker) says(now model.Micros, warrant uint64, ps ...Piece) (Verdict, []Order) {
+	if m := w.h.Hosts[w.r.Host]; warrant == w.h.Token && (m == nil || now-m.Heard > 3*sec) {
+		w.tally++
+		r := w.r
+		r.Tally, r.Warrant, r.Pieces = w.tally, warrant, ps
+		w.h.Take(&r, now-sec/2)
+	}
 	w.tally++
 	r := w.r
 	r.Tally, r.Warrant, r.Pieces = w.tally, warrant, ps
@@ -47,7 +54,7 @@
 	if v != Taken {
 		return v, nil
 	}
-	w.h.Place(now)
+	w.h.Place(now, true)
 	return v, w.h.Orders(&r, now)
 }
 
@@ -439,7 +446,7 @@
 	same.SamePlace, same.Owner = true, "blue"
 	js2 := h.AddJob(same, model.Set{}, "", 0, 0)
 	h.Restore(js2, 0, 3, h.AddHost("h9", "box", "b", false, 0)) // an old attempt that is not surely gone
-	h.Place(2 * sec)
+	h.Place(2*sec, true)
 	if n := js2.BoundCount(); n != 1 {
 		t.Fatal("placed in another yard than a task that may still be on its machine")
 	}
@@ -508,7 +515,7 @@
 	same := job("j-3", 1, model.Sweep)
 	same.Rank, same.Owner = model.Idle, "blue"
 	h.AddJob(same, model.Set{}, "", 4*sec, 0)
-	h.Place(200 * sec)
+	h.Place(200*sec, true)
 	stops := 0
 	for _, b := range h.Hosts["h1"].Bound {
 		if b.Stop {
@@ -542,7 +549,7 @@
 	running(40 * sec)
 	newWorker(h, "h2", "box", "a").says(40*sec, 5)
 	h.AddJob(job("j-2", 1, model.Sweep), model.Set{}, "", 40*sec, 0)
-	h.Place(40 * sec)
+	h.Place(40*sec, true)
 	if len(h.Hosts["h2"].Bound) != 1 {
 		t.Fatal("new work goes to the slow machine")
 	}
@@ -565,14 +572,14 @@
 	js := h.AddJob(hot, model.Set{}, "", sec, 0)
 	h.complete(model.PieceID{Job: "j-1"}, nil, 2*sec)
 	h.unbind(h.Jobs["j-1"].Bound[0][0], "ended: done", 2*sec)
-	h.Place(2 * sec)
+	h.Place(2*sec, true)
 	if got := h.Used["red"].Cores; got != 7000 {
 		t.Fatalf("%d used: what came free went to a single task", got)
 	}
 	for _, m := range h.Hosts {
 		m.Heard = 22 * sec
 	}
-	h.Place(22 * sec)
+	h.Place(22*sec, true)
 	stops := 0
 	for _, bs := range h.Jobs["j-1"].Bound {
 		if bs[0].Stop {
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -135,6 +135,9 @@
 	RecallAt      Micros // when it is taken
 	RentedAt      Micros
 	EmptyAt       Micros // since when nothing is bound to it
+	Changed       bool   // its last report made room, or showed it up
+	Hears         bool   // its last report showed that our answer to the one before had reached it
+	MuteSince     Micros // since when it reports without hearing, 0: it hears
 	Lost          bool   // its lease surely ran out, nothing heard since
 	Leaving       bool   // to be returned once empty: no new work
 	Deleting      bool   // a deletion is on its way
@@ -205,6 +208,11 @@
 	NotBefore  Micros
 	ErrorHosts map[string]bool
 	SeenAt     Micros
+	Begun      bool // a task of it has run
+	// What a placement round thinks of it.
+	Within  bool // within its team's guarantee
+	Starved bool // it has waited too long to begin
+	DueAt   Micros
 }
 
 // BoundCount is the number of bound pieces, old attempts included.
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"woadweir/internal/core/model"
 )
@@ -35,57 +36,108 @@
 	// for it.
 	Patience func(j *model.JobState) model.Micros
 
-	owed    map[string]model.Need      // room within team limits, kept for gangs served earlier
-	kept    map[*model.Host]model.Need // room kept for jobs served earlier
-	reserve map[*model.Host]model.Need // room beside free GPUs, kept for GPU tasks
+	// Displace has the round look for work to be stopped, too, which costs more
+	// than placing. Keeps is what such a round kept for jobs that still wait; the
+	// rounds until the next one hold on to it.
+	Displace bool
+	Keeps    map[*model.JobState][]Keep
+	// Left is how long a bound piece is thought to go on.
+	Left func(b *model.Bound) model.Micros
+
+	owed      map[string]model.Need // room within team limits, kept for gangs served earlier
+	rooms     []room                // the open machines
+	hopeless  map[ask][]model.Need  // by what is allowed: needs for which no machine has room
+	lowest    model.Rank            // of the tasks that could be stopped
+	displaced int                   // jobs that looked for work to be stopped
+	awaited   map[string]bool       // yards where a gang waits for machines to come free
+	at        map[*model.Host]*room // of machines with kept room, made when needed
+}
+
+// Keep is room on a machine that is kept for a waiting job.
+type Keep struct {
+	Host *model.Host
+	Need model.Need
+}
+
+// room is what a round knows of an open machine.
+type room struct {
+	h       *model.Host
+	kept    model.Need // for jobs served earlier
+	reserve model.Need // beside free GPUs, kept for GPU tasks
+
+	looked   bool           // the rest is known
+	victims  []*model.Bound // tasks that could be stopped, least loss first
+	stopping model.Need     // what earlier stops are about to free
+}
+
+// free is the room that is not kept for a job served earlier.
+func (r *room) free() model.Need { return r.h.Free().Minus(r.kept) }
+
+// ask is what decides, beside its need, which machines a job may use.
+type ask struct {
+	builds, yard     string
+	loaners, pressed bool
+	gpus             bool
 }
 
-// Open tells whether the host takes new work now.
+// Open tells whether the host takes new work now. A machine that does not hear
+// gets none: it would wait there for ever, and a report that may be an old copy
+// says nothing of what it could do now.
 func (w *World) Open(h *model.Host) bool {
-	return h.Up && !h.Lost && !h.Leaving && !h.Deleting && !h.Recall && !h.Sick && !h.Failed && w.Now-h.Heard < w.Silent
+	return h.Up && h.Hears && !h.Lost && !h.Leaving && !h.Deleting && !h.Recall && !h.Sick && !h.Failed && w.Now-h.Heard < w.Silent
 }
 
-// Sort puts jobs into the order in which they are served: rank, then what is
-// within its team's guarantee, then what is due first of all that can still be
-// in time, then age.
+// Sort puts jobs into the order in which they are served: those that have waited
+// too long to begin, then rank, then what is within its team's guarantee, then
+// what is due first of all that can still be in time, then age.
 func (w *World) Sort() {
 	slices.SortFunc(w.Jobs, func(a, b *model.JobState) int { return cmp.Compare(a.Order, b.Order) })
-	within := Guaranteed(w.Jobs, w.Teams)
-	due := make(map[*model.JobState]model.Micros, len(w.Jobs))
-	if w.Due != nil {
-		for _, j := range w.Jobs {
-			due[j] = w.Due(j)
+	w.guaranteed()
+	for _, j := range w.Jobs {
+		j.Starved = w.starved(j)
+		if w.Due != nil {
+			j.DueAt = w.Due(j)
 		}
 	}
-	slices.SortStableFunc(w.Jobs, func(a, b *model.JobState) int {
-		if c := cmp.Compare(b.Rank, a.Rank); c != 0 {
-			return c
+	first := func(a, b bool) int {
+		switch {
+		case a == b:
+			return 0
+		case a:
+			return -1
 		}
-		ga, gb := within[a.Ref], within[b.Ref]
-		if ga != gb {
-			if ga {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Compare(due[a], due[b])
+		return 1
+	}
+	slices.SortStableFunc(w.Jobs, func(a, b *model.JobState) int {
+		return cmp.Or(first(a.Starved, b.Starved), cmp.Compare(b.Rank, a.Rank), first(a.Within, b.Within), cmp.Compare(a.DueAt, b.DueAt))
 	})
 }
 
-// Guaranteed tells which jobs fit into their team's guarantee together with
+// starveAfter is how long a job may wait for its first task before it goes before
+// all others: well within the four minutes in which even the largest are to begin.
+const starveAfter = 120 * model.Second
+
+// starved tells that nothing of a job has begun for so long that it has to go
+// first, whatever its rank. Without this, jobs that can't be in time any more,
+// and gangs for which small ones leave no room, would wait for ever.
+func (w *World) starved(j *model.JobState) bool {
+	return !j.Begun && w.Now-j.SeenAt > starveAfter
+}
+
+// guaranteed finds the jobs that fit into their team's guarantee together with
 // the team's earlier unfinished jobs. The jobs must be in order of age.
-func Guaranteed(jobs []*model.JobState, teams map[string]*model.Team) map[string]bool {
-	sum := map[string]model.Need{}
-	within := make(map[string]bool, len(jobs))
-	for _, j := range jobs {
-		t := teams[j.Owner]
-		if t == nil || j.Ended != "" {
+func (w *World) guaranteed() {
+	sum := make(map[string]model.Need, len(w.Teams))
+	for _, j := range w.Jobs {
+		t := w.Teams[j.Owner]
+		if t == nil {
+			j.Within = false
 			continue
 		}
-		sum[j.Owner] = sum[j.Owner].Plus(j.Need.Times(j.Pieces))
-		within[j.Ref] = t.WithinGuarantee(sum[j.Owner])
+		use := sum[j.Owner].Plus(j.Need.Times(j.Pieces))
+		sum[j.Owner] = use
+		j.Within = t.WithinGuarantee(use)
 	}
-	return within
 }
 
 // YardRoom tells how many more tasks of the job the rules on zones let into the
@@ -115,51 +167,49 @@
 	return max(0, w.MaxBound-len(h.Bound))
 }
 
-// free is the room on a host that is not kept for a job served earlier.
-func (w *World) free(h *model.Host) model.Need { return h.Free().Minus(w.kept[h]) }
-
-// room is what the job may use of a host: a task without GPUs leaves what GPU
+// usable is what a job may use of a machine: a task without GPUs leaves what GPU
 // tasks need beside the GPUs that are wanted, unless it can't wait for others to
 // be stopped.
-func (w *World) room(j *model.JobState, h *model.Host) model.Need {
-	free := w.free(h)
-	if j.Need.GPUs > 0 || w.pressed(j) {
+func (r *room) usable(a ask) model.Need {
+	free := r.free()
+	if a.gpus || a.pressed {
 		return free
 	}
-	return free.Minus(w.reserve[h])
+	return free.Minus(r.reserve)
+}
+
+func (w *World) ask(j *model.JobState) ask {
+	return ask{strings.Join(j.Builds, " "), j.Yard, j.Loaners, w.pressed(j), j.Need.GPUs > 0}
 }
 
 // spare sets the reserve: free GPUs that are wanted, on the machines that suit
 // GPU tasks best, with what such a task takes beside each.
 func (w *World) spare() {
-	w.reserve = map[*model.Host]model.Need{}
-	var hs []*model.Host
-	for _, h := range w.Hosts {
-		if h.Size.GPUs > 0 && w.Open(h) && h.Free().GPUs > 0 {
-			hs = append(hs, h)
+	var rs []*room
+	for i := range w.rooms {
+		if r := &w.rooms[i]; r.h.Size.GPUs > 0 && r.h.Free().GPUs > 0 {
+			rs = append(rs, r)
 		}
 	}
-	slices.SortFunc(hs, func(a, b *model.Host) int {
-		if a.Spot != b.Spot {
-			if a.Spot {
+	slices.SortFunc(rs, func(a, b *room) int {
+		if a.h.Spot != b.h.Spot {
+			if a.h.Spot {
 				return -1
 			}
 			return 1
 		}
-		if c := cmp.Compare(a.Free().GPUs, b.Free().GPUs); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.Ref, b.Ref)
+		return cmp.Or(cmp.Compare(a.h.Free().GPUs, b.h.Free().GPUs), cmp.Compare(a.h.Ref, b.h.Ref))
 	})
 	left := w.GPUs
-	for _, h := range hs {
+	for _, r := range rs {
 		if left <= 0 {
 			return
 		}
+		h := r.h
 		g := min(left, h.Free().GPUs)
 		left -= g
 		per := model.Need{Cores: min(w.PerGPU.Cores, h.Size.Cores*1000/h.Size.GPUs), Mem: min(w.PerGPU.Mem, h.Size.Mem*1000/h.Size.GPUs)}
-		w.reserve[h] = model.Need{Cores: per.Cores * g / 1000, GPUs: g, Mem: per.Mem * g / 1000}
+		r.reserve = model.Need{Cores: per.Cores * g / 1000, GPUs: g, Mem: per.Mem * g / 1000}
 	}
 }
 
@@ -186,11 +236,12 @@
 }
 
 // cost ranks a host for a job: the image fetch, and what is spoilt for others.
-func (w *World) cost(j *model.JobState, h *model.Host) (c model.Micros) {
+func (w *World) cost(j *model.JobState, r *room) (c model.Micros) {
+	h := r.h
 	c += w.fetch(j, h)
 	if h.Size.GPUs > 0 && j.Need.GPUs == 0 {
 		c += costGPUHost
-		if !j.Need.Fits(w.free(h).Minus(w.reserve[h])) {
+		if !j.Need.Fits(r.free().Minus(r.reserve)) {
 			c += costStrand
 		}
 	}
@@ -219,31 +270,48 @@
 }
 
 type candidate struct {
-	h    *model.Host
+	r    *room
 	cost model.Micros
 	free model.Milli
 }
 
-func (w *World) candidates(j *model.JobState) []candidate {
-	var cs []candidate
-	for _, h := range w.Hosts {
-		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(w.room(j, h)) {
+// candidates are the machines with room for a task, best first; none if there is
+// not room for that many. What found no room at all is remembered: in a round
+// room only gets less, so nothing larger has to look again.
+func (w *World) candidates(j *model.JobState, atLeast int) []candidate {
+	a := w.ask(j)
+	for _, n := range w.hopeless[a] {
+		if n.Fits(j.Need) {
+			return nil
+		}
+	}
+	var rs []*room
+	count := 0
+	for i := range w.rooms {
+		r := &w.rooms[i]
+		u := r.usable(a)
+		if !j.Need.Fits(u) || !j.Allows(r.h.Build, r.h.Yard, r.h.Spot) {
 			continue
 		}
-		left := w.free(h).Cores
+		rs = append(rs, r)
+		count += j.Need.Count(u, atLeast)
+	}
+	if len(rs) == 0 {
+		w.hopeless[a] = append(w.hopeless[a], j.Need)
+	}
+	if count < atLeast {
+		return nil
+	}
+	cs := make([]candidate, len(rs))
+	for i, r := range rs {
+		left := r.free().Cores
 		if j.Need.GPUs > 0 {
-			left = w.free(h).GPUs // the fewer machines GPUs are used on, the more can go back
+			left = r.free().GPUs // the fewer machines GPUs are used on, the more can go back
 		}
-		cs = append(cs, candidate{h, w.cost(j, h), left})
+		cs[i] = candidate{r, w.cost(j, r), left}
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
-		if c := cmp.Compare(a.cost, b.cost); c != 0 {
-			return c
-		}
-		if c := cmp.Compare(a.free, b.free); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.h.Ref, b.h.Ref)
+		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.free, b.free), cmp.Compare(a.r.h.Ref, b.r.h.Ref))
 	})
 	return cs
 }
@@ -251,25 +319,110 @@
 // Round places what it can and calls Bind for each decision.
 func (w *World) Round() {
 	w.Sort()
-	w.kept = map[*model.Host]model.Need{}
-	w.owed = map[string]model.Need{}
-	w.spare()
+	w.prepare()
 	for _, j := range w.Jobs {
 		if j.Ended != "" || j.EndWanted || len(j.Waiting) == 0 || w.Now < j.NotBefore {
 			continue
 		}
-		kept := false
-		if j.Shape == model.Gang && w.teamRoom(j, j.Pieces) < j.Pieces {
-			w.claim(j)
+		w.serve(j)
+	}
+}
+
+// prepare looks at the machines.
+func (w *World) prepare() {
+	w.owed = map[string]model.Need{}
+	w.hopeless = map[ask][]model.Need{}
+	w.awaited = map[string]bool{}
+	w.rooms = make([]room, 0, len(w.Hosts))
+	w.lowest = model.Critical
+	for _, h := range w.Hosts {
+		if !w.Open(h) {
+			continue
+		}
+		w.rooms = append(w.rooms, room{h: h})
+		if !w.Displace {
 			continue
 		}
-		if j.Shape == model.Gang {
-			kept = w.gang(j)
-		} else {
-			w.sweep(j)
+		for _, b := range h.Bound {
+			if b.Job.Rank < w.lowest && b.Job.Shape != model.Gang {
+				w.lowest = b.Job.Rank
+			}
+		}
+	}
+	w.spare()
+	if w.Displace {
+		clear(w.Keeps)
+	}
+	w.applyKeeps(1)
+}
+
+// applyKeeps books, or with -1 unbooks, the room that is kept for jobs.
+func (w *World) applyKeeps(sign int, only ...*model.JobState) {
+	if len(w.Keeps) == 0 {
+		return
+	}
+	if w.at == nil {
+		w.at = make(map[*model.Host]*room, len(w.rooms))
+		for i := range w.rooms {
+			w.at[w.rooms[i].h] = &w.rooms[i]
+		}
+	}
+	apply := func(ks []Keep) {
+		for _, k := range ks {
+			if r := w.at[k.Host]; r != nil {
+				r.kept = r.kept.Plus(k.Need.Times(sign))
+			}
+		}
+	}
+	if len(only) > 0 {
+		apply(w.Keeps[only[0]])
+		return
+	}
+	for _, ks := range w.Keeps {
+		apply(ks)
+	}
+}
+
+// maxDisplacers bounds the jobs of a round that look for work to be stopped: the
+// first in order; the others' turn comes when those are served.
+const maxDisplacers = 24
+
+// serve places what it can of one job.
+func (w *World) serve(j *model.JobState) {
+	if len(w.Keeps[j]) > 0 {
+		// What was kept for it is its own; what it does not take stays kept.
+		w.applyKeeps(-1, j)
+		w.hopeless = map[ask][]model.Need{}
+		defer func() {
+			if len(j.Waiting) == 0 {
+				delete(w.Keeps, j)
+			}
+			w.applyKeeps(1, j)
+		}()
+	}
+	kept := false
+	if j.Shape == model.Gang {
+		if w.teamRoom(j, j.Pieces) < j.Pieces {
+			w.claim(j)
+			return
+		}
+		kept = w.gang(j)
+		if _, ok := w.owed[j.Owner]; !ok && len(j.Waiting) > 0 && len(j.Bound) == 0 {
+			// It waits for machines alone. Were nothing owed to it, the team's other
+			// work would take its room within the limit meanwhile, and be stopped for
+			// it again; were all such gangs owed theirs, there would be no room left.
+			w.owe(j)
+		}
+	} else {
+		w.sweep(j)
+	}
+	if len(j.Waiting) > 0 && w.Displace && w.Stop != nil && !kept {
+		if (j.Rank > w.lowest || j.Rank >= model.Urgent) && w.displaced < maxDisplacers {
+			w.displaced++
+			kept = w.preempt(j, func(*model.Host) bool { return true })
 		}
-		if len(j.Waiting) > 0 && w.Stop != nil && !kept {
-			w.preempt(j, func(*model.Host) bool { return true })
+		if !kept && j.Shape == model.Gang {
+			w.await(j)
 		}
 	}
 }
@@ -291,10 +444,12 @@
 	if left == 0 {
 		return
 	}
-	for _, c := range w.candidates(j) {
-		k := min(left, j.Need.Count(w.room(j, c.h), left), YardRoom(j, c.h.Yard), w.slots(c.h))
+	a := w.ask(j)
+	for _, c := range w.candidates(j, 1) {
+		h := c.r.h
+		k := min(left, j.Need.Count(c.r.usable(a), left), YardRoom(j, h.Yard), w.slots(h))
 		for ; k > 0; k-- {
-			w.Bind(j, j.Waiting[0], c.h, w.NextTry())
+			w.Bind(j, j.Waiting[0], h, w.NextTry())
 			left--
 		}
 		if left == 0 {
@@ -310,16 +465,17 @@
 	if len(j.Bound) > 0 || len(j.Waiting) != j.Pieces || w.teamRoom(j, j.Pieces) < j.Pieces {
 		return false
 	}
-	cs := w.candidates(j)
+	cs := w.candidates(j, j.Pieces)
 	var best []*model.Host
 	if j.SamePlace {
 		byYard := map[string][]candidate{}
 		var yards []string
 		for _, c := range cs {
-			if byYard[c.h.Yard] == nil {
-				yards = append(yards, c.h.Yard)
+			y := c.r.h.Yard
+			if byYard[y] == nil {
+				yards = append(yards, y)
 			}
-			byYard[c.h.Yard] = append(byYard[c.h.Yard], c)
+			byYard[y] = append(byYard[y], c)
 		}
 		bestCost := model.Micros(0)
 		for _, y := range yards {
@@ -333,7 +489,7 @@
 	if best == nil {
 		return false
 	}
-	if w.slow(j, best) && w.preempt(j, func(h *model.Host) bool { return w.fetch(j, h) < model.Second }) {
+	if w.Displace && w.slow(j, best) && w.preempt(j, func(h *model.Host) bool { return w.fetch(j, h) < model.Second }) {
 		return true
 	}
 	try := w.NextTry()
@@ -364,11 +520,13 @@
 
 // pick chooses a host for every task of the gang, or none.
 func (w *World) pick(j *model.JobState, cs []candidate) (hosts []*model.Host, cost model.Micros) {
+	a := w.ask(j)
 	inYard := map[string]int{}
 	for _, c := range cs {
-		for k := min(j.Need.Count(w.room(j, c.h), j.Pieces-len(hosts)), w.slots(c.h)); k > 0 && inYard[c.h.Yard] < j.PerYard(); k-- {
-			hosts = append(hosts, c.h)
-			inYard[c.h.Yard]++
+		h := c.r.h
+		for k := min(j.Need.Count(c.r.usable(a), j.Pieces-len(hosts)), w.slots(h)); k > 0 && inYard[h.Yard] < j.PerYard(); k-- {
+			hosts = append(hosts, h)
+			inYard[h.Yard]++
 			cost = max(cost, c.cost)
 		}
 		if len(hosts) == j.Pieces {
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"woadweir/internal/core/model"
@@ -21,45 +22,50 @@
 		return false
 	}
 	type option struct {
-		h       *model.Host
+		r       *room
 		victims []*model.Bound
 		cost    model.Micros
 		now     bool // the room is free already, but was kept for GPU tasks
+		nth     int  // the machine's first, second ... room
 	}
 	var options []option
-	for _, h := range w.Hosts {
-		if !w.Open(h) || !j.Allows(h.Build, h.Yard, h.Spot) || !j.Need.Fits(h.Size) || !suits(h) {
+	a := w.ask(j)
+	for i := range w.rooms {
+		r := &w.rooms[i]
+		h := r.h
+		if !j.Need.Fits(h.Size) || !j.Allows(h.Build, h.Yard, h.Spot) || !suits(h) {
 			continue
 		}
-		fetch := w.cost(j, h) * value(j.Need) / 4
+		w.look(r)
 		// Room for one task after another, as long as there are victims.
-		free := w.free(h)
-		reserve := w.reserve[h]
+		free, reserve := r.free(), r.reserve
 		if j.Rank < model.Urgent {
-			free, reserve = w.room(j, h), model.Need{}
+			free, reserve = r.usable(a), model.Need{}
 		}
-		var victims []*model.Bound
-		for _, b := range h.Bound {
-			if b.Stop {
-				free = free.Plus(b.Job.Need)
-			} else if b.Job.Rank < j.Rank && b.Job.Shape != model.Gang {
-				victims = append(victims, b)
-			}
-		}
-		w.byLoss(victims)
-		really := w.free(h)
-		for range min(n, w.slots(h)) {
-			o := option{h: h, cost: fetch, now: j.Need.Fits(really)}
+		free = free.Plus(r.stopping)
+		victims := r.victims
+		really := r.free()
+		fetch := model.Micros(-1)
+		for nth := range min(n, w.slots(h)) {
+			o := option{r: r, nth: nth, now: j.Need.Fits(really)}
 			really = really.Minus(j.Need)
 			for len(victims) > 0 && !j.Need.Fits(free) {
-				free = free.Plus(victims[0].Job.Need)
-				o.cost += w.loss(victims[0])
-				o.victims = append(o.victims, victims[0])
+				v := victims[0]
 				victims = victims[1:]
+				if v.Job.Rank >= j.Rank || v.Stop {
+					continue
+				}
+				free = free.Plus(v.Job.Need)
+				o.cost += w.loss(v)
+				o.victims = append(o.victims, v)
 			}
 			if !j.Need.Fits(free) {
 				break
 			}
+			if fetch < 0 {
+				fetch = w.cost(j, r) * value(j.Need) / 4
+			}
+			o.cost += fetch
 			free = free.Minus(j.Need)
 			if over := reserve.Cores - free.Cores; over > 0 && reserve.GPUs > 0 {
 				// GPUs that are wanted would stand idle beside it.
@@ -69,23 +75,47 @@
 			options = append(options, o)
 		}
 	}
-	slices.SortStableFunc(options, func(a, b option) int {
-		if c := cmp.Compare(a.cost, b.cost); c != 0 {
-			return c
+	slices.SortFunc(options, func(a, b option) int {
+		if a.cost != b.cost {
+			return cmp.Compare(a.cost, b.cost)
 		}
-		return cmp.Compare(a.h.Ref, b.h.Ref)
+		return cmp.Or(cmp.Compare(a.r.h.Ref, b.r.h.Ref), a.nth-b.nth)
 	})
-	var chosen []option
-	inYard := map[string]int{}
-	for _, o := range options {
-		if len(chosen) == n {
-			break
+	choose := func(yard string) (chosen []option) {
+		inYard := map[string]int{}
+		for _, o := range options {
+			y := o.r.h.Yard
+			if len(chosen) == n {
+				break
+			}
+			if yard != "" && yard != y || inYard[y] >= YardRoom(j, y) {
+				continue
+			}
+			inYard[y]++
+			chosen = append(chosen, o)
 		}
-		if j.SamePlace && len(chosen) > 0 && chosen[0].h.Yard != o.h.Yard || inYard[o.h.Yard] >= YardRoom(j, o.h.Yard) {
-			continue
+		return chosen
+	}
+	var chosen []option
+	if !j.SamePlace {
+		chosen = choose("")
+	} else {
+		// The first yard, by its cheapest option, that has room for all; or else
+		// the one with most.
+		tried := map[string]bool{}
+		for _, o := range options {
+			y := o.r.h.Yard
+			if tried[y] {
+				continue
+			}
+			tried[y] = true
+			if c := choose(y); len(c) > len(chosen) {
+				chosen = c
+			}
+			if len(chosen) == n {
+				break
+			}
 		}
-		inYard[o.h.Yard]++
-		chosen = append(chosen, o)
 	}
 	if len(chosen) == 0 || j.Shape == model.Gang && len(chosen) < j.Pieces {
 		return false
@@ -95,7 +125,7 @@
 		// Nobody has to be stopped: it is only that GPU tasks were to have the room.
 		try := w.NextTry()
 		for _, o := range chosen {
-			w.Bind(j, j.Waiting[0], o.h, try)
+			w.Bind(j, j.Waiting[0], o.r.h, try)
 			if j.Shape != model.Gang {
 				try = w.NextTry()
 			}
@@ -110,22 +140,117 @@
 				w.Stop(b, "room for "+j.Ref)
 			}
 		}
-		w.kept[o.h] = w.kept[o.h].Plus(j.Need)
+		w.keep(j, o.r)
 	}
 	return len(chosen) == n
 }
 
-// claim keeps what a gang needs within its team's limit from jobs that are served
-// later: single tasks would take whatever comes free, for ever. When the gang is
-// late, tasks of its own team and of lower rank are stopped for it.
+// keep keeps a task's room for a job that waits.
+func (w *World) keep(j *model.JobState, r *room) {
+	r.kept = r.kept.Plus(j.Need)
+	if w.Keeps != nil {
+		w.Keeps[j] = append(w.Keeps[j], Keep{r.h, j.Need})
+	}
+}
+
+// look finds out what could be stopped on a machine.
+func (w *World) look(r *room) {
+	if r.looked {
+		return
+	}
+	r.looked = true
+	for _, b := range r.h.Bound {
+		if b.Stop {
+			r.stopping = r.stopping.Plus(b.Job.Need)
+		} else if b.Job.Shape != model.Gang && b.Job.Rank < model.Critical {
+			r.victims = append(r.victims, b)
+		}
+	}
+	w.byLoss(r.victims)
+}
+
+// await keeps machines that come free by themselves for a gang that can't have
+// others stopped: work of its own rank would otherwise take one after the other
+// as soon as it is free, for ever. It takes the machines that are thought to be
+// free first; one gang a yard, so that the rest goes on beside it.
+func (w *World) await(j *model.JobState) {
+	if w.Left == nil || len(j.Bound) > 0 || !w.late(j) && !j.Starved {
+		return
+	}
+	type option struct {
+		r  *room
+		at model.Micros
+	}
+	byYard := map[string][]option{}
+	for i := range w.rooms {
+		r := &w.rooms[i]
+		h := r.h
+		if !j.Need.Fits(h.Size.Minus(r.kept)) || !j.Allows(h.Build, h.Yard, h.Spot) || w.awaited[h.Yard] {
+			continue
+		}
+		// Room for one task after another, as the present ones end.
+		ends := make([]*model.Bound, 0, len(h.Bound))
+		for _, b := range h.Bound {
+			ends = append(ends, b)
+		}
+		slices.SortFunc(ends, func(a, b *model.Bound) int {
+			return cmp.Or(cmp.Compare(w.Left(a), w.Left(b)), cmp.Compare(a.Try, b.Try))
+		})
+		free, at := r.free(), model.Micros(0)
+		for range min(j.Pieces, w.slots(h)) {
+			for len(ends) > 0 && !j.Need.Fits(free) {
+				free, at = free.Plus(ends[0].Job.Need), w.Left(ends[0])
+				ends = ends[1:]
+			}
+			if !j.Need.Fits(free) {
+				break
+			}
+			free = free.Minus(j.Need)
+			byYard[h.Yard] = append(byYard[h.Yard], option{r, at})
+		}
+	}
+	var chosen []option
+	if j.SamePlace || j.Apart {
+		for _, y := range slices.Sorted(maps.Keys(byYard)) {
+			os := byYard[y]
+			slices.SortStableFunc(os, func(a, b option) int { return cmp.Compare(a.at, b.at) })
+			if n := min(len(os), j.PerYard()); j.SamePlace && n == j.Pieces && (chosen == nil || os[n-1].at < chosen[n-1].at) {
+				chosen = os[:n]
+			} else if j.Apart {
+				chosen = append(chosen, os[:min(n, j.Pieces-len(chosen))]...)
+			}
+		}
+	} else {
+		for _, y := range slices.Sorted(maps.Keys(byYard)) {
+			chosen = append(chosen, byYard[y]...)
+		}
+		slices.SortStableFunc(chosen, func(a, b option) int { return cmp.Compare(a.at, b.at) })
+		chosen = chosen[:min(len(chosen), j.Pieces)]
+	}
+	if len(chosen) < j.Pieces {
+		return
+	}
+	for _, o := range chosen {
+		w.awaited[o.r.h.Yard] = true
+		w.keep(j, o.r)
+	}
+}
+
+// owe keeps what a waiting gang needs within its team's limit from jobs that are
+// served later: single tasks would take whatever comes free, for ever.
+func (w *World) owe(j *model.JobState) {
+	w.owed[j.Owner] = w.owed[j.Owner].Plus(j.Need.Times(j.Pieces))
+}
+
+// claim is for a gang that its team's limit keeps waiting. When it is late, tasks
+// of its own team and of lower rank are stopped for it.
 func (w *World) claim(j *model.JobState) {
 	t := w.Teams[j.Owner]
 	if t == nil || len(j.Bound) > 0 || len(j.Waiting) != j.Pieces {
 		return
 	}
-	need := j.Need.Times(j.Pieces)
-	w.owed[j.Owner] = w.owed[j.Owner].Plus(need)
-	if w.Stop == nil || !w.late(j) {
+	w.owe(j)
+	if w.Stop == nil || !w.Displace || !w.late(j) {
 		return
 	}
 	room := t.Max.Minus(w.Used[j.Owner]).Minus(w.owed[j.Owner])
--- /dev/null
+++ b/internal/core/slack/bench_test.go
@@ -0,0 +1,40 @@
+package slack
+
+import (
+	"fmt"
+	"testing"
+
+	"woadweir/internal/core/model"
+)
+
+// A renting round over 600 machines, most of them full, with 10,000 waiting
+// tasks of many sizes, and no capacity left to be rented.
+func BenchmarkRound(b *testing.B) {
+	in := &Input{Flavors: flavors, CloudOK: true}
+	for i := range 600 {
+		build, used := "box", model.Need{Cores: 9_000, Mem: 30_000}
+		if i%2 == 0 {
+			build, used = "gpu", model.Need{Cores: 18_000, GPUs: 4000, Mem: 70_000}
+		}
+		if i%10 == 0 {
+			used = model.Need{}
+		}
+		in.Hosts = append(in.Hosts, host(fmt.Sprintf("host-%06d", i), build, used))
+	}
+	for i := range 250 {
+		d := demand(40, model.Need{Cores: 4000 + model.Milli(i), GPUs: 1000, Mem: 12_000}, true)
+		in.Waiting = append(in.Waiting, d)
+		in.Sizes = append(in.Sizes, d.Job.Need)
+	}
+	l := New(Defaults())
+	for _, f := range flavors {
+		for _, y := range f.Yards {
+			l.Refuse(Offer{f.Label, y, true}, 1<<50)
+			l.Refuse(Offer{f.Label, y, false}, 1<<50)
+		}
+	}
+	for i := range b.N {
+		in.Now = sec + model.Micros(i)*sec/2
+		l.Round(in)
+	}
+}
--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -125,15 +125,13 @@
 	slices.SortFunc(slots, func(a, b *slot) int { return cmp.Compare(a.h.Ref, b.h.Ref) })
 
 	// Waiting tasks take room first: they push placeholders out.
-	type homeless struct {
-		d Demand
-		n int
-	}
 	var tasks []homeless
+	var none futile
 	for _, d := range in.Waiting {
 		n := d.Count
+		hopeless := none.has(d.Job, 1)
 		for _, s := range slots {
-			if n == 0 {
+			if n == 0 || hopeless {
 				break
 			}
 			if !d.Job.Allows(s.offer.Build, s.offer.Yard, s.offer.Spot) || !suits(d.Job, s) {
@@ -147,6 +145,9 @@
 			}
 		}
 		if n > 0 {
+			if !hopeless {
+				none = append(none, homeless{d, n})
+			}
 			tasks = append(tasks, homeless{d, n})
 			out.Homeless += n
 		}
@@ -171,10 +172,17 @@
 
 	// What is homeless now drives renting.
 	var fresh []*slot
+	none = nil
 	for _, t := range tasks {
 		n := t.n
+		if none.has(t.d.Job, t.n) {
+			continue
+		}
 		for n > 0 {
 			for _, s := range fresh {
+				if n == 0 {
+					break
+				}
 				if k := t.d.Job.Need.Count(s.free, n); k > 0 && t.d.Job.Allows(s.offer.Build, s.offer.Yard, s.offer.Spot) {
 					s.free = s.free.Minus(t.d.Job.Need.Times(k))
 					n -= k
@@ -185,6 +193,7 @@
 			}
 			s := l.cheapest(in, fresh, t.d.Job.Need, n, t.d.Job.Rank >= model.Urgent, t.d.Job.Allows)
 			if s == nil {
+				none = append(none, homeless{t.d, n})
 				break
 			}
 			fresh = append(fresh, s)
@@ -194,7 +203,11 @@
 		s.left = s.free
 	}
 	roaming = l.seek(roaming, fresh)
+	var refused *placeholder // none can be rented for it, nor for its like
 	for _, p := range roaming {
+		if refused != nil && refused.group == p.group && refused.size.Fits(p.size) {
+			continue
+		}
 		if len(l.seek([]*placeholder{p}, fresh)) == 0 {
 			continue
 		}
@@ -205,6 +218,7 @@
 			return !spot && l.hold(in, f, spot) >= l.P.HoldIdle/3
 		})
 		if s == nil {
+			refused = p
 			continue
 		}
 		s.left = s.free
@@ -224,6 +238,26 @@
 	return out
 }
 
+// futile remembers what found no room: room only gets less, so nothing that may
+// use the same machines and needs as much, for no more tasks, has to look again.
+type futile []homeless
+
+// homeless is a number of a job's tasks without a place.
+type homeless struct {
+	d Demand
+	n int
+}
+
+func (f futile) has(j *model.JobState, n int) bool {
+	for i := range f {
+		if o := f[i].d.Job; f[i].n >= n && o.Need.Fits(j.Need) && o.Loaners == j.Loaners && o.Yard == j.Yard && o.Rank == j.Rank &&
+			(o.Need.GPUs > 0) == (j.Need.GPUs > 0) && slices.Equal(o.Builds, j.Builds) {
+			return true
+		}
+	}
+	return false
+}
+
 // suits tells whether a machine is for such work: one without GPUs alone must
 // not keep a GPU machine in pay, unless it is urgent.
 func suits(j *model.JobState, s *slot) bool {
@@ -232,7 +266,12 @@
 
 // seek puts placeholders into rooms and returns those that found none.
 func (l *Loop) seek(ps []*placeholder, slots []*slot) (rest []*placeholder) {
+	var failed *placeholder // the last that found none: its like need not look
 	for _, p := range ps {
+		if failed != nil && failed.group == p.group && failed.size.Fits(p.size) {
+			rest = append(rest, p)
+			continue
+		}
 		var best *slot
 		for _, s := range slots {
 			if (s.size.GPUs > 0) != p.group || !p.size.Fits(s.left) {
@@ -243,6 +282,7 @@
 			}
 		}
 		if best == nil {
+			failed = p
 			rest = append(rest, p)
 			continue
 		}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -32,13 +32,24 @@
 
 // Rhythm of the catch-ups.
 const (
-	syncGap      = 60 * model.Millisecond  // at least, between two
+	syncLeast    = 60 * model.Millisecond  // at least, between two
 	syncLeader   = 200 * model.Millisecond // at most, by the leader
 	syncFollower = 400 * model.Millisecond // at most, by others
 	syncOrphan   = 150 * model.Millisecond // at most, without a leader
 	holdCheckin  = 250 * model.Millisecond // a response waits so long for its bindings
+	syncShare    = 0.6                     // of the requests that the state service bears
 )
 
+// writeShare is a controller's part of the changes that the state service bears:
+// half are the leader's, the others share the rest.
+func (c *controller) writeShare(leads bool) float64 {
+	half := c.set.Params.State.WriteRPS / 2
+	if leads || len(c.set.Siblings) == 0 {
+		return half
+	}
+	return half / float64(len(c.set.Siblings))
+}
+
 // held is a response to a worker that waits for bindings to become durable.
 type held struct {
 	msg   msgCheckin
@@ -66,6 +77,7 @@
 	syncAt    model.Micros // when the last one was sent
 	syncOK    model.Micros // when the last good one was sent
 	syncNotBy model.Micros // not before, after an error
+	syncGap   model.Micros // between two at least
 	wantList  bool
 	waiting   []func(ok bool) // run when a catch-up that starts later has ended
 	inSync    []func(ok bool) // those of the one on its way
@@ -88,9 +100,15 @@
 }
 
 func newController(set *config.Settings, op *config.Operator, spans lead.Spans, clock Clock, io effects) *controller {
-	return &controller{set: set, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
-		seen: map[string]model.Micros{}, view: state.NewView(), wantList: true, budget: state.NewBudget(set.Params.State.WriteRPS / 4),
+	// Catch-ups of all controllers together take at most so much of what the state
+	// service bears; transactions and sessions need the rest.
+	nodes := len(set.Siblings) + 1
+	gap := model.Seconds(float64(nodes) / (syncShare * set.Params.State.RPS))
+	c := &controller{set: set, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
+		syncGap: max(syncLeast, gap), seen: map[string]model.Micros{}, view: state.NewView(), wantList: true,
 		wall: func() int64 { return time.Now().UnixMilli() }}
+	c.budget = state.NewBudget(c.writeShare(false))
+	return c
 }
 
 // run takes messages until the context ends.
@@ -228,7 +246,7 @@
 		c.view.Put(op.Set, op.Value, m.res.Epoch)
 	}
 	slog.Info("leader", "token", m.res.Epoch)
-	c.budget.SetRate(c.set.Params.State.WriteRPS*0.75, c.now)
+	c.budget.SetRate(c.writeShare(true), c.now)
 	c.leading = newLeadership(c, m.res.Epoch)
 }
 
@@ -241,7 +259,7 @@
 		h.msg.reply <- c.elsewhere()
 	}
 	c.leading = nil
-	c.budget.SetRate(c.set.Params.State.WriteRPS/8, c.now)
+	c.budget.SetRate(c.writeShare(false), c.now)
 }
 
 // --- catching up
@@ -249,7 +267,7 @@
 func (c *controller) afterSync(f func(ok bool)) { c.waiting = append(c.waiting, f) }
 
 func (c *controller) startSync() {
-	if c.syncing || c.now < c.syncNotBy || c.now-c.syncAt < syncGap && c.syncAt != 0 {
+	if c.syncing || c.now < c.syncNotBy || c.now-c.syncAt < c.syncGap && c.syncAt != 0 {
 		return
 	}
 	gap := syncFollower
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -20,11 +20,20 @@
 	listGap     = 1500 * model.Millisecond
 	rentGapSoon = 500 * model.Millisecond
 	sweepGap    = 500 * model.Millisecond
-	placeGap    = 40 * model.Millisecond
 	forgetHost  = 600 * model.Second
 	forgetSize  = 180 * model.Second
 )
 
+// Rhythm of placement rounds: so many times what the last one took is left
+// between two, within bounds. Rounds that may displace work take longer.
+const (
+	placeLeast    = 40 * model.Millisecond
+	placeMost     = 400 * model.Millisecond
+	placeShare    = 8
+	displaceMost  = 600 * model.Millisecond
+	displaceShare = 20
+)
+
 // bytesPerPiece is what a bound piece takes in its host's record at most; a
 // record takes at most half of a bundle.
 const bytesPerPiece = 128
@@ -52,6 +61,8 @@
 	missing   map[string]int
 
 	flavorsAt, listAt, sweepAt, placeAt model.Micros
+	placeGap                            model.Micros // until the next placement round
+	displaceAt, displaceGap             model.Micros // the same for those that may displace
 	flavorsBusy, listBusy               bool
 	flavorsGot                          bool
 	deleting                            map[string]model.Micros // when the deletion was sent, 0: to be sent
@@ -148,10 +159,7 @@
 		l.h.Tick(c.now)
 		l.clean()
 	}
-	if l.h.NeedPlace && l.due(&l.placeAt, placeGap) {
-		l.h.Place(c.now)
-		l.loopSoon = true
-	}
+	l.place()
 	l.pump()
 	l.flush(false)
 	if !l.flavorsBusy && (l.flavorsAt == 0 || c.now-l.flavorsAt > flavorsGap || !l.flavorsGot && c.now-l.flavorsAt > model.Second) {
@@ -247,19 +255,47 @@
 		c.afterSync(func(bool) {})
 		m.reply <- workerAnswer{421, workerapi.Elsewhere("")}
 		return
+	case block.Greeted:
+		m.reply <- workerAnswer{200, workerapi.Answer(l.token, nil)}
+		return
 	}
-	if l.h.NeedPlace {
-		l.placeAt = c.now
-		l.h.Place(c.now)
-		l.loopSoon = true
-	}
-	if l.h.Pending(m.report.Host) {
+	l.place()
+	if l.awaits(m.report.Host) {
 		l.held = append(l.held, held{m, c.now + holdCheckin})
 		return
 	}
 	l.respond(m)
 }
 
+// place runs a placement round if one is due. On a large fleet reports come much
+// faster than rounds can be had: a round then serves many of them.
+func (l *leadership) place() {
+	c := l.c
+	if !l.h.NeedPlace || !l.due(&l.placeAt, l.placeGap) {
+		return
+	}
+	displace := l.due(&l.displaceAt, l.displaceGap)
+	start := c.clock()
+	l.h.Place(c.now, displace)
+	took := c.clock() - start
+	if displace {
+		l.displaceGap = min(displaceShare*took, displaceMost)
+	} else {
+		l.placeGap = min(max(placeLeast, placeShare*took), placeMost)
+	}
+	l.loopSoon = true
+}
+
+// awaits tells whether the response to a host's report had better wait: for its
+// bindings to be durable, or for the round that may give it some.
+func (l *leadership) awaits(ref string) bool {
+	if l.h.Pending(ref) {
+		return true
+	}
+	m := l.h.Hosts[ref]
+	return l.h.NeedPlace && m != nil && m.Changed
+}
+
 func (l *leadership) respond(m msgCheckin) {
 	h := l.h.Hosts[m.report.Host]
 	if h == nil || h.Tenure != m.report.Tenure || h.Tally != m.report.Tally || h.Deleting || !l.c.auth.Holds(l.c.now) {
@@ -276,7 +312,7 @@
 	}
 	keep := l.held[:0]
 	for _, h := range l.held {
-		if !all && l.h.Pending(h.msg.report.Host) && l.c.now < h.until {
+		if !all && l.awaits(h.msg.report.Host) && l.c.now < h.until {
 			keep = append(keep, h)
 			continue
 		}
@@ -444,6 +480,8 @@
 			l.giveBack(h, "not listed any more")
 		case h.Up && h.Lost && silent > l.h.LeaseOver()+5*model.Second:
 			l.giveBack(h, "silent")
+		case l.h.Deaf(h, c.now):
+			l.giveBack(h, "does not hear")
 		case h.Leaving && len(h.Bound) == 0:
 			l.giveBack(h, "not wanted")
 		case !h.Up && f != nil && len(h.Bound) == 0 && c.now-h.RentedAt > max(model.Seconds(f.BootS*l.loop.P.DeadBoots), 60*model.Second):
