Gangs stay with the zone where others were stopped for them; late fetchers start first

Cause: of 96,000 bindings for 25,000 tasks most were stopped again at once. A gang in one zone chose the zone of its cheapest single room anew in each round and stopped others there; gangs over their team's limit all had work of the team stopped, though only one found machines. A gang whose images take longer than a task waits for its gang lost the attempt; tasks that have the image now start last. Ruled out: the order of jobs (the gangs were first in it).

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -188,6 +188,7 @@
 			}
 			m.ReadyAt[js.Image] = now + h.P.Report/2 + model.Seconds(js.ImageGB/f.FetchGBps)
 		}
+		b.Fetch = max(0, m.ReadyAt[js.Image]-now)
 		m.TouchImage(js.Image, js.ImageGB, f.CacheGB)
 	}
 	return b
@@ -562,7 +563,7 @@
 		if b.Ver > m.DurableVer || b.Stop || b.Seen || js.Ended != "" || js.EndWanted || js.Done.Has(id.N) || reported[id] == b.Try {
 			continue
 		}
-		if js.Shape == model.Gang && (js.Broken || !h.gangDurable(js)) {
+		if js.Shape == model.Gang && (js.Broken || !h.gangDurable(js) || h.early(js, b)) {
 			continue
 		}
 		starts = append(starts, b)
@@ -594,6 +595,20 @@
 	return true
 }
 
+// early tells that a gang's task had better start later: others of the gang have
+// an image to fetch that may take longer than a task waits for its gang. It
+// starts when theirs is there.
+func (h *Holder) early(js *model.JobState, b *model.Bound) bool {
+	for _, bs := range js.Bound {
+		for _, o := range bs {
+			if o.Fetch*3/2 > b.Fetch+h.P.GangWait && o.Status < model.Gathering {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Pending tells whether the host has a binding that is not durable yet.
 func (h *Holder) Pending(ref string) bool {
 	m := h.Hosts[ref]
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -109,6 +109,7 @@
 	Seen                  bool   // a report under our token has shown it
 	At                    Micros // when it was bound
 	RunAt                 Micros // first seen running, 0 if not yet
+	Fetch                 Micros // how long its image was thought to take when it was bound
 	Stop                  bool   // it is to be stopped
 	Leeway                Micros // grace of that stop
 	StopAt                Micros // when the stop was decided
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -81,7 +81,7 @@
 		}
 		return cmp.Or(cmp.Compare(a.r.h.Ref, b.r.h.Ref), a.nth-b.nth)
 	})
-	choose := func(yard string) (chosen []option) {
+	choose := func(yard string) (chosen []option, cost model.Micros) {
 		inYard := map[string]int{}
 		for _, o := range options {
 			y := o.r.h.Yard
@@ -93,15 +93,18 @@
 			}
 			inYard[y]++
 			chosen = append(chosen, o)
+			cost += o.cost
 		}
-		return chosen
+		return chosen, cost
 	}
 	var chosen []option
 	if !j.SamePlace {
-		chosen = choose("")
+		chosen, _ = choose("")
 	} else {
-		// The first yard, by its cheapest option, that has room for all; or else
-		// the one with most.
+		// The yard with room for most, and of those where all of it costs least: what
+		// has been stopped there already costs nothing any more, while hopping from
+		// yard to yard would stop others in each.
+		best := model.Micros(0)
 		tried := map[string]bool{}
 		for _, o := range options {
 			y := o.r.h.Yard
@@ -109,11 +112,8 @@
 				continue
 			}
 			tried[y] = true
-			if c := choose(y); len(c) > len(chosen) {
-				chosen = c
-			}
-			if len(chosen) == n {
-				break
+			if c, cost := choose(y); len(c) > len(chosen) || len(c) == len(chosen) && cost < best {
+				chosen, best = c, cost
 			}
 		}
 	}
@@ -238,8 +238,10 @@
 
 // owe keeps what a waiting gang needs within its team's limit from jobs that are
 // served later: single tasks would take whatever comes free, for ever.
-func (w *World) owe(j *model.JobState) {
+func (w *World) owe(j *model.JobState) (first bool) {
+	_, others := w.owed[j.Owner]
 	w.owed[j.Owner] = w.owed[j.Owner].Plus(j.Need.Times(j.Pieces))
+	return !others
 }
 
 // claim is for a gang that its team's limit keeps waiting. When it is late, tasks
@@ -249,8 +251,9 @@
 	if t == nil || len(j.Bound) > 0 || len(j.Waiting) != j.Pieces {
 		return
 	}
-	w.owe(j)
-	if w.Stop == nil || !w.Displace || !w.late(j) {
+	// Only for the first gang: the next may not find machines for a long time, and
+	// the team's other work would take the limit again meanwhile.
+	if !w.owe(j) || w.Stop == nil || !w.Displace || !w.late(j) {
 		return
 	}
 	room := t.Max.Minus(w.Used[j.Owner]).Minus(w.owed[j.Owner])
