--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -186,7 +186,7 @@
 			if m.ReadyAt == nil {
 				m.ReadyAt = map[string]model.Micros{}
 			}
-			m.ReadyAt[js.Image] = now + h.P.Report/2 + model.Seconds(js.ImageGB/f.FetchGBps)
+			m.ReadyAt[js.Image] = now + max(h.P.Report/2, m.Fetching(now)) + model.Seconds(js.ImageGB/f.FetchGBps)
 		}
 		b.Fetch = max(0, m.ReadyAt[js.Image]-now)
 		m.TouchImage(js.Image, js.ImageGB, f.CacheGB)
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -169,6 +169,15 @@
 	return false
 }
 
+// Fetching is how long the images that are being fetched are thought to take yet:
+// they share the machine's rate.
+func (h *Host) Fetching(now Micros) (left Micros) {
+	for _, at := range h.ReadyAt {
+		left = max(left, at-now)
+	}
+	return left
+}
+
 // TouchImage notes a use of an image and forgets those that no longer fit.
 func (h *Host) TouchImage(img string, gb, cacheGB float64) {
 	for i, c := range h.Cache {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -48,6 +48,7 @@
 	rooms     []room                // the open machines
 	hopeless  map[ask][]model.Need  // by what is allowed: needs for which no machine has room
 	lowest    model.Rank            // of the tasks that could be stopped
+	spared    map[string]bool       // jobs whose first task at last begins
 	displaced int                   // jobs that looked for work to be stopped
 	awaited   map[string]bool       // yards where a gang waits for machines to come free
 	at        map[*model.Host]*room // of machines with kept room, made when needed
@@ -113,14 +114,21 @@
 	})
 }
 
-// starveAfter is how long a job may wait for its first task before it goes before
-// all others: well within the four minutes in which even the largest are to begin.
-const starveAfter = 120 * model.Second
+// starveAfter is how long a job may wait for its first task before that goes
+// before all others: well within the four minutes in which even the largest are
+// to begin.
+const starveAfter = 150 * model.Second
 
 // starved tells that nothing of a job has begun for so long that it has to go
-// first, whatever its rank. Without this, jobs that can't be in time any more,
-// and gangs for which small ones leave no room, would wait for ever.
+// first, whatever its rank: a gang as a whole, another job with a single task.
+// Without this, jobs that can't be in time any more, and gangs for which small
+// ones leave no room, would wait for ever; with more of it, all jobs of a busy
+// class would get late by turns.
 func (w *World) starved(j *model.JobState) bool {
+	return w.unbegun(j) && len(j.Bound) == 0
+}
+
+func (w *World) unbegun(j *model.JobState) bool {
 	return !j.Begun && w.Now-j.SeenAt > starveAfter
 }
 
@@ -232,13 +240,14 @@
 		// Being fetched, it may take a while yet.
 		return max(0, h.ReadyAt[j.Image]-w.Now)
 	}
-	return model.Seconds(j.ImageGB / f.FetchGBps)
+	return h.Fetching(w.Now) + model.Seconds(j.ImageGB/f.FetchGBps)
 }
 
 // cost ranks a host for a job: the image fetch, and what is spoilt for others.
-func (w *World) cost(j *model.JobState, r *room) (c model.Micros) {
+func (w *World) cost(j *model.JobState, r *room, tasks int) (c model.Micros) {
 	h := r.h
 	c += w.fetch(j, h)
+	c += c / model.Micros(max(1, tasks)) // the fewer tasks share a fetch, the more is spent on it
 	if h.Size.GPUs > 0 && j.Need.GPUs == 0 {
 		c += costGPUHost
 		if !j.Need.Fits(r.free().Minus(r.reserve)) {
@@ -308,7 +317,7 @@
 		if j.Need.GPUs > 0 {
 			left = r.free().GPUs // the fewer machines GPUs are used on, the more can go back
 		}
-		cs[i] = candidate{r, w.cost(j, r), left}
+		cs[i] = candidate{r, w.cost(j, r, j.Need.Count(r.usable(a), len(j.Waiting))), left}
 	}
 	slices.SortFunc(cs, func(a, b candidate) int {
 		return cmp.Or(cmp.Compare(a.cost, b.cost), cmp.Compare(a.free, b.free), cmp.Compare(a.r.h.Ref, b.r.h.Ref))
@@ -352,6 +361,12 @@
 	w.spare()
 	if w.Displace {
 		clear(w.Keeps)
+		w.spared = map[string]bool{}
+		for _, j := range w.Jobs {
+			if w.unbegun(j) {
+				w.spared[j.Ref] = true
+			}
+		}
 	}
 	w.applyKeeps(1)
 }
@@ -441,6 +456,9 @@
 
 func (w *World) sweep(j *model.JobState) {
 	left := w.teamRoom(j, len(j.Waiting))
+	if j.Starved {
+		left = min(left, 1)
+	}
 	if left == 0 {
 		return
 	}
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -38,14 +38,15 @@
 		}
 		w.look(r)
 		// Room for one task after another, as long as there are victims.
-		free, reserve := r.free(), r.reserve
+		free := r.free()
 		if j.Rank < model.Urgent {
-			free, reserve = r.usable(a), model.Need{}
+			free = r.usable(a)
 		}
 		free = free.Plus(r.stopping)
 		victims := r.victims
 		really := r.free()
 		fetch := model.Micros(-1)
+		var cores, stranded model.Milli // what this job would take, and the GPUs idle beside it
 		for nth := range min(n, w.slots(h)) {
 			o := option{r: r, nth: nth, now: j.Need.Fits(really)}
 			really = really.Minus(j.Need)
@@ -63,14 +64,18 @@
 				break
 			}
 			if fetch < 0 {
-				fetch = w.cost(j, r) * value(j.Need) / 4
+				fetch = w.cost(j, r, n) * value(j.Need) / 4
 			}
 			o.cost += fetch
 			free = free.Minus(j.Need)
-			if over := reserve.Cores - free.Cores; over > 0 && reserve.GPUs > 0 {
-				// GPUs that are wanted would stand idle beside it.
-				gpus := min(reserve.GPUs, over*reserve.GPUs/reserve.Cores+999)
-				o.cost += value(model.Need{GPUs: gpus}) * max(j.Guess, 10*model.Second)
+			if j.Need.GPUs == 0 && w.GPUs > 0 && w.PerGPU.Cores > 0 {
+				// GPUs that are wanted would stand idle beside it, for all its time.
+				cores += j.Need.Cores
+				gpus := min(w.GPUs, h.Size.GPUs-(h.Size.Cores-cores)*1000/w.PerGPU.Cores)
+				if more := gpus - stranded; more > 0 {
+					o.cost += value(model.Need{GPUs: more}) * max(j.Guess, 10*model.Second)
+					stranded = gpus
+				}
 			}
 			options = append(options, o)
 		}
@@ -162,7 +167,7 @@
 	for _, b := range r.h.Bound {
 		if b.Stop {
 			r.stopping = r.stopping.Plus(b.Job.Need)
-		} else if b.Job.Shape != model.Gang && b.Job.Rank < model.Critical {
+		} else if b.Job.Shape != model.Gang && b.Job.Rank < model.Critical && !w.spared[b.Job.Ref] {
 			r.victims = append(r.victims, b)
 		}
 	}
