--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -597,11 +597,12 @@
 
 // early tells that a gang's task had better start later: others of the gang have
 // an image to fetch that may take longer than a task waits for its gang. It
-// starts when theirs is there.
+// starts when theirs is there. The order among them is by the length of the
+// fetch, so that no two wait for each other.
 func (h *Holder) early(js *model.JobState, b *model.Bound) bool {
 	for _, bs := range js.Bound {
 		for _, o := range bs {
-			if o.Fetch*3/2 > b.Fetch+h.P.GangWait && o.Status < model.Gathering {
+			if o.Fetch-b.Fetch > h.P.GangWait*2/3 && o.Status < model.Gathering {
 				return true
 			}
 		}
@@ -648,10 +649,34 @@
 			h.Log(Event{What: "lost", Host: m.Ref})
 		}
 	}
+	for _, js := range h.Jobs {
+		h.checkGang(js, now)
+	}
 	// Time alone makes jobs late.
 	h.NeedPlace = true
 }
 
+// checkGang ends an attempt that has not come together in all the time that its
+// images and the waiting for each other can have taken: whatever holds it up,
+// its machines must not stand idle for it for ever.
+func (h *Holder) checkGang(js *model.JobState, now model.Micros) {
+	if js.Shape != model.Gang || js.Broken || js.Ended != "" || js.EndWanted || len(js.Bound) == 0 {
+		return
+	}
+	fetch, since := model.Micros(0), now
+	for _, bs := range js.Bound {
+		for _, b := range bs {
+			if b.Status >= model.Running {
+				return
+			}
+			fetch, since = max(fetch, b.Fetch), min(since, b.At)
+		}
+	}
+	if now-since > 3*fetch+2*h.P.GangWait+h.LeaseOver() {
+		h.breakGang(js, "it does not come together", now)
+	}
+}
+
 // World is what a placement round looks at.
 func (h *Holder) World(now model.Micros) *place.World {
 	w := &place.World{Now: now, Silent: 3 * h.P.Report, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -329,6 +329,70 @@
 	}
 }
 
+// The tasks of a gang whose images take long start first, and no two wait for
+// each other, however long all take: gangs once waited for themselves.
+func TestGangStartsLongFetchesFirst(t *testing.T) {
+	h := newHolder(5)
+	j := job("j-1", 3, model.Gang)
+	j.Owner, j.Need.Cores = "blue", 3000 // one to a box
+	js := h.AddJob(j, model.Set{}, "", 0, 0)
+	var ws []*worker
+	for _, ref := range []string{"h1", "h2", "h3"} {
+		w := newWorker(h, ref, "box", "a")
+		w.says(sec, 5)
+		ws = append(ws, w)
+	}
+	if len(js.Bound) != 3 {
+		t.Fatal("not bound")
+	}
+	for n, fetch := range []model.Micros{0, 90 * sec, 100 * sec} {
+		bound(h, ws[n].r.Host).Fetch = fetch
+	}
+	write(h, sec)
+	started := func(now model.Micros) (n []int) {
+		for i, w := range ws {
+			b := bound(h, w.r.Host)
+			var ps []Piece
+			if b.Seen {
+				ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: b.Status})
+			}
+			if _, o := w.says(now, 5, ps...); verbs(o, "start") > 0 {
+				n = append(n, i)
+				b.Seen, b.Status = true, model.Pulling
+			}
+		}
+		return n
+	}
+	if n := started(2 * sec); len(n) != 2 || n[0] != 1 {
+		t.Fatalf("started %v, want the two that fetch", n)
+	}
+	for _, w := range ws[1:] {
+		bound(h, w.r.Host).Status = model.Gathering
+	}
+	if n := started(100 * sec); len(n) != 1 || n[0] != 0 {
+		t.Fatalf("started %v, want the one that has its image", n)
+	}
+}
+
+// A gang that does not come together, for whatever reason, gives its machines
+// back.
+func TestGangThatNeverRunsIsEnded(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 1, model.Gang), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.says(sec, 5)
+	write(h, sec)
+	b := bound(h, "h1")
+	at := 10 * sec
+	for ; at < 200*sec && !js.Broken; at += 10 * sec {
+		w.says(at, 5, Piece{ID: b.ID, Try: b.Try, Status: model.Pulling})
+		h.Tick(at)
+	}
+	if !js.Broken || at < 60*sec {
+		t.Fatalf("broken %v after %v s", js.Broken, at.Seconds())
+	}
+}
+
 // Where a binding got durable before the task's leaving of another machine did,
 // a new holder finds the task bound twice. The newest attempt is the true one:
 // the older may never be started beside it.
--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -1,6 +1,9 @@
 package block
 
-import "woadweir/internal/core/model"
+import (
+	"woadweir/internal/core/model"
+	"woadweir/internal/core/place"
+)
 
 // runStat is what is known of the run times of a class.
 type runStat struct {
@@ -43,29 +46,29 @@
 	return max(e-ran, ran/4)
 }
 
-// never is later than any time.
-const never = model.Micros(1) << 60
-
-// due is by when the job is to be done to count as in time: the first of its
-// deadline and its class's aims that can still be met. What can't be in time
-// any more is due after all else; what is to start soon goes by age.
+// due ranks jobs of the same rank. What is to start soon goes by age. Of what
+// can still be in time (its deadline, or one of its class's aims), that with
+// least left to do goes first, so that most jobs are in time when not all can
+// be. What can't be in time any more goes after all else, by age.
 func (h *Holder) due(j *model.JobState, now model.Micros) model.Micros {
 	if _, ok := h.P.Waits[j.Class]; ok {
 		return j.SeenAt
 	}
-	end := now + h.Expected(j.Job)*9/10
+	run := h.Expected(j.Job)
+	end := now + run*9/10
+	left := run * model.Micros(len(j.Waiting))
 	if j.Due > 0 {
 		if at := j.SeenAt + j.Due; end <= at {
-			return at
+			return left
 		}
-		return never + j.SeenAt
+		return place.Late + j.SeenAt
 	}
 	for _, f := range h.P.Finish[j.Class] {
 		if at := j.SeenAt + f; end <= at {
-			return at
+			return left
 		}
 	}
-	return never + j.SeenAt
+	return place.Late + j.SeenAt
 }
 
 // What makes a machine seem slow: two tasks that run for three times as long as
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -49,6 +49,7 @@
 	hopeless  map[ask][]model.Need  // by what is allowed: needs for which no machine has room
 	lowest    model.Rank            // of the tasks that could be stopped
 	spared    map[string]bool       // jobs whose first task at last begins
+	withheld  int                   // gangs that room was withheld for
 	displaced int                   // jobs that looked for work to be stopped
 	awaited   map[string]bool       // yards where a gang waits for machines to come free
 	at        map[*model.Host]*room // of machines with kept room, made when needed
@@ -89,8 +90,8 @@
 }
 
 // Sort puts jobs into the order in which they are served: those that have waited
-// too long to begin, then rank, then what is within its team's guarantee, then
-// what is due first of all that can still be in time, then age.
+// too long to begin, then rank, then what can still be in time, then what is
+// within its team's guarantee, then by DueAt.
 func (w *World) Sort() {
 	slices.SortFunc(w.Jobs, func(a, b *model.JobState) int { return cmp.Compare(a.Order, b.Order) })
 	w.guaranteed()
@@ -110,10 +111,13 @@
 		return 1
 	}
 	slices.SortStableFunc(w.Jobs, func(a, b *model.JobState) int {
-		return cmp.Or(first(a.Starved, b.Starved), cmp.Compare(b.Rank, a.Rank), first(a.Within, b.Within), cmp.Compare(a.DueAt, b.DueAt))
+		return cmp.Or(first(a.Starved, b.Starved), cmp.Compare(b.Rank, a.Rank), first(a.DueAt < Late, b.DueAt < Late), first(a.Within, b.Within), cmp.Compare(a.DueAt, b.DueAt))
 	})
 }
 
+// Late is where the DueAt of jobs begins that can't be in time any more.
+const Late = model.Micros(1) << 60
+
 // starveAfter is how long a job may wait for its first task before that goes
 // before all others: well within the four minutes in which even the largest are
 // to begin.
@@ -431,6 +435,9 @@
 	} else {
 		w.sweep(j)
 	}
+	if !w.Displace && j.Shape == model.Gang && len(j.Waiting) == j.Pieces {
+		w.withhold(j)
+	}
 	if len(j.Waiting) > 0 && w.Displace && w.Stop != nil && !kept {
 		if (j.Rank > w.lowest || j.Rank >= model.Urgent) && w.displaced < maxDisplacers {
 			w.displaced++
@@ -442,6 +449,26 @@
 	}
 }
 
+// withhold keeps room that has come free from jobs served later, until the next
+// round that decides which of it a waiting gang is to get: single tasks would
+// take each machine at once, and be stopped there soon after.
+func (w *World) withhold(j *model.JobState) {
+	if w.withheld++; w.withheld > maxDisplacers {
+		return
+	}
+	n := j.Pieces
+	for i := range w.rooms {
+		r := &w.rooms[i]
+		k := min(j.Need.Count(r.free(), n), n)
+		if k > 0 && j.Allows(r.h.Build, r.h.Yard, r.h.Spot) {
+			r.kept = r.kept.Plus(j.Need.Times(k))
+			if n -= k; n == 0 {
+				return
+			}
+		}
+	}
+}
+
 // teamRoom is how many more tasks of the job its team's limit allows.
 func (w *World) teamRoom(j *model.JobState, limit int) int {
 	t := w.Teams[j.Owner]
