Gangs stick to the machines where others were stopped for them

Cause: 2,702 texture-bake tasks were stopped for gangs on GPU machines, of which 39 gang tasks came to run there: each round chose anew, and left what had been stopped to whoever came next. Ruled out: the weight of stranded GPUs alone.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -44,21 +44,24 @@
 	// Left is how long a bound piece is thought to go on.
 	Left func(b *model.Bound) model.Micros
 
-	owed      map[string]model.Need // room within team limits, kept for gangs served earlier
-	rooms     []room                // the open machines
-	hopeless  map[ask][]model.Need  // by what is allowed: needs for which no machine has room
-	lowest    model.Rank            // of the tasks that could be stopped
-	spared    map[string]bool       // jobs whose first task at last begins
-	withheld  int                   // gangs that room was withheld for
-	displaced int                   // jobs that looked for work to be stopped
-	awaited   map[string]bool       // yards where a gang waits for machines to come free
-	at        map[*model.Host]*room // of machines with kept room, made when needed
+	owed      map[string]model.Need                   // room within team limits, kept for gangs served earlier
+	rooms     []room                                  // the open machines
+	hopeless  map[ask][]model.Need                    // by what is allowed: needs for which no machine has room
+	lowest    model.Rank                              // of the tasks that could be stopped
+	paid      map[*model.JobState]map[*model.Host]int // rooms that others were stopped for, of the last displacing round
+	spared    map[string]bool                         // jobs whose first task at last begins
+	withheld  int                                     // gangs that room was withheld for
+	displaced int                                     // jobs that looked for work to be stopped
+	awaited   map[string]bool                         // yards where a gang waits for machines to come free
+	at        map[*model.Host]*room                   // of machines with kept room, made when needed
 }
 
-// Keep is room on a machine that is kept for a waiting job.
+// Keep is room on a machine that is kept for a waiting job. Paid tells that
+// others were stopped for it.
 type Keep struct {
 	Host *model.Host
 	Need model.Need
+	Paid bool
 }
 
 // room is what a round knows of an open machine.
@@ -364,6 +367,17 @@
 	}
 	w.spare()
 	if w.Displace {
+		w.paid = map[*model.JobState]map[*model.Host]int{}
+		for j, ks := range w.Keeps {
+			for _, k := range ks {
+				if k.Paid {
+					if w.paid[j] == nil {
+						w.paid[j] = map[*model.Host]int{}
+					}
+					w.paid[j][k.Host]++
+				}
+			}
+		}
 		clear(w.Keeps)
 		w.spared = map[string]bool{}
 		for _, j := range w.Jobs {
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -27,6 +27,7 @@
 		cost    model.Micros
 		now     bool // the room is free already, but was kept for GPU tasks
 		nth     int  // the machine's first, second ... room
+		paid    bool
 	}
 	var options []option
 	a := w.ask(j)
@@ -45,7 +46,7 @@
 		free = free.Plus(r.stopping)
 		victims := r.victims
 		really := r.free()
-		fetch := model.Micros(-1)
+		fetch, paid := model.Micros(-1), w.paid[j][h]
 		var cores, stranded model.Milli // what this job would take, and the GPUs idle beside it
 		for nth := range min(n, w.slots(h)) {
 			o := option{r: r, nth: nth, now: j.Need.Fits(really)}
@@ -77,6 +78,11 @@
 					stranded = gpus
 				}
 			}
+			if nth < paid && len(o.victims) == 0 {
+				// Others have been stopped here for this job already. Choosing anew
+				// would stop more elsewhere and leave this to whoever comes next.
+				o.cost, o.paid = 0, true
+			}
 			options = append(options, o)
 		}
 	}
@@ -145,16 +151,16 @@
 				w.Stop(b, "room for "+j.Ref)
 			}
 		}
-		w.keep(j, o.r)
+		w.keep(j, o.r, o.paid || late && len(o.victims) > 0)
 	}
 	return len(chosen) == n
 }
 
 // keep keeps a task's room for a job that waits.
-func (w *World) keep(j *model.JobState, r *room) {
+func (w *World) keep(j *model.JobState, r *room, paid bool) {
 	r.kept = r.kept.Plus(j.Need)
 	if w.Keeps != nil {
-		w.Keeps[j] = append(w.Keeps[j], Keep{r.h, j.Need})
+		w.Keeps[j] = append(w.Keeps[j], Keep{r.h, j.Need, paid})
 	}
 }
 
@@ -237,7 +243,7 @@
 	}
 	for _, o := range chosen {
 		w.awaited[o.r.h.Yard] = true
-		w.keep(j, o.r)
+		w.keep(j, o.r, false)
 	}
 }
 
