Tests of the troubles that the users added, and stand-ins that make them

A deaf machine, late copies of reports (also to a new holder), a controller alone with its workers, restarts within a fraction of a second in mid-election with former requests carried out once more, a machine back at once, overload, a full fleet. Found by them: an old copy showed a machine up.

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -320,7 +320,7 @@
 	}
 	h.judgeHearing(m, r, now)
 	m.Changed = m.Changed && m.Hears // what a report of a deaf machine made room for waits
-	if !m.Up {
+	if !m.Up && r.Warrant == h.Token {
 		m.Up, m.Changed, h.NeedPlace = true, true, true
 		h.Log(Event{What: "up", Host: m.Ref})
 	}
--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -60,16 +60,20 @@
 			})
 		}
 		for range rapid.IntRange(1, 10).Draw(rt, "faults") {
-			kind := rapid.IntRange(0, 9).Draw(rt, "kind")
+			kind := rapid.IntRange(0, 13).Draw(rt, "kind")
 			at := w.Between(5*model.Second, calm-30*model.Second)
 			long := w.Between(model.Second, 30*model.Second)
 			w.At(at, func() { fault(w, kind, long) })
 		}
+		w.copies = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "copies")
+		w.repeats = rapid.SampledFrom([]float64{0, 0.05}).Draw(rt, "repeats")
 		w.At(calm, func() {
 			for _, n := range w.nodes {
 				n.setCut(open)
-				n.workers = true
+				n.workers, n.alone = true, false
 			}
+			clear(w.deaf)
+			w.copies, w.repeats = 0, 0
 		})
 		w.Run(500 * model.Second)
 		if len(w.rules.Broken) > 0 {
@@ -129,6 +133,34 @@
 				w.After(long, func() { x.Hang(false) })
 			}
 		}
+	case 10: // alone with its workers
+		n.setCut(dropped)
+		n.alone = true
+		w.After(long, func() { n.setCut(open); n.alone = false })
+	case 11:
+		for _, x := range ws {
+			if w.Chance(0.3) {
+				w.deaf[x.Ref] = true
+				w.After(2*long, func() { delete(w.deaf, x.Ref) })
+			}
+		}
+	case 12: // again and again, in the middle of elections
+		for i := range model.Micros(4) {
+			w.After(i*300*model.Millisecond, func() {
+				for _, n := range w.nodes {
+					if n.alive && w.Chance(0.6) {
+						n.crash()
+						w.After(w.Between(0, 200*model.Millisecond), n.start)
+					}
+				}
+			})
+		}
+	case 13:
+		for _, x := range ws {
+			if w.Chance(0.4) {
+				x.Restart()
+			}
+		}
 	case 9:
 		for _, x := range ws {
 			switch {
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -55,6 +55,7 @@
 	cut     int
 	late    []func() // held requests
 	workers bool     // workers reach it
+	alone   bool     // the other controllers do not reach it, nor it them
 	pending []func() bool
 	abandon uint64 // a session that the session actor is to end
 	// intercept takes a transaction away if it returns true.
@@ -69,8 +70,17 @@
 	cloud *standin.Cloud
 	rules *standin.Rules
 	nodes []*simNode
+
+	deaf    map[string]bool // machines whose reports arrive, but which hear nothing
+	copies  float64         // chance that a report arrives once more, up to copyLate later
+	repeats float64         // chance that a request to the state service is carried out once more
+	heard   []func()        // every report as it was delivered, if record is set
+	record  bool
 }
 
+// copyLate is well over a lease.
+const copyLate = 60 * model.Second
+
 var simFlavors = []model.Flavor{
 	{Label: "small", Cores: 8, MemoryGB: 32, CacheGB: 20, FetchGBps: 1, Price: 1, LowPrice: 0.3, BootS: 5, Yards: []string{"a", "b"}},
 	{Label: "gpu", Cores: 16, GPUs: 4, MemoryGB: 64, CacheGB: 20, FetchGBps: 1, Price: 8, LowPrice: 2, BootS: 6, Yards: []string{"a", "b"}},
@@ -87,7 +97,7 @@
 }
 
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{Sim: standin.NewSim(seed), t: t}
+	w := &world{Sim: standin.NewSim(seed), t: t, deaf: map[string]bool{}}
 	w.state = standin.NewState(w.Sim)
 	set := simSettings("")
 	w.rules = standin.NewRules(w.Sim, set.Teams(), model.Seconds(set.Params.Workers.CancelS))
@@ -118,9 +128,27 @@
 	return ns
 }
 
-func (w *world) Checkin(_ *standin.Worker, node string, body []byte, answer func(int, []byte)) {
+func (w *world) Checkin(x *standin.Worker, node string, body []byte, answer func(int, []byte)) {
 	n := w.nodes[slices.Index(w.Nodes(), node)]
-	w.After(w.Between(200, 2000), func() {
+	if w.deaf[x.Ref] {
+		answer = func(int, []byte) {}
+	}
+	w.deliverReport(n, body, w.Between(200, 2000), answer)
+	if w.copies > 0 && w.Chance(w.copies) {
+		to := w.nodes[w.Rng.IntN(len(w.nodes))]
+		w.deliverReport(to, body, w.Between(2*model.Second, copyLate), func(int, []byte) {})
+	}
+	if w.record {
+		w.heard = append(w.heard, func() {
+			for _, n := range w.nodes {
+				w.deliverReport(n, body, 0, func(int, []byte) {})
+			}
+		})
+	}
+}
+
+func (w *world) deliverReport(n *simNode, body []byte, after model.Micros, answer func(int, []byte)) {
+	w.After(after, func() {
 		if !n.alive || !n.workers {
 			return
 		}
@@ -253,6 +281,9 @@
 	}
 	w.After(patience, func() { give(lost) })
 	there := w.Between(model.Millisecond, 6*model.Millisecond)
+	if w.repeats > 0 && w.Chance(w.repeats) {
+		w.After(w.Between(there, 40*model.Second), func() { do() })
+	}
 	if w.Chance(0.01) {
 		there = w.Between(100*model.Millisecond, 3*model.Second)
 	}
@@ -368,7 +399,7 @@
 	n.w.After(2*model.Millisecond, func() {
 		var m msgPinged
 		for _, o := range n.w.nodes {
-			if o == n || !o.alive {
+			if o == n || !o.alive || o.alone || n.alone {
 				continue
 			}
 			m.alive++
@@ -388,6 +419,9 @@
 	n.abandon = session
 	o := n
 	if helper != "" {
+		if n.alone {
+			return
+		}
 		o = n.w.nodes[slices.Index(n.w.Nodes(), helper)]
 	}
 	o.request(func() func() {
--- /dev/null
+++ b/internal/node/troubles_test.go
@@ -0,0 +1,446 @@
+package node
+
+import (
+	"testing"
+
+	"woadweir/internal/core/model"
+	"woadweir/internal/standin"
+	"woadweir/internal/state"
+	"woadweir/internal/userapi"
+	"woadweir/internal/workerapi"
+)
+
+// running waits until something of a job runs, and gives a machine that has it.
+func (w *world) running(tasks int) *standin.Worker {
+	w.t.Helper()
+	w.until(60*model.Second, "tasks run", func() bool { return w.rules.OnMachine() >= tasks })
+	for _, x := range w.cloud.Workers() {
+		if x.Tasks() > 0 {
+			return x
+		}
+	}
+	w.t.Fatal("no machine has a task")
+	return nil
+}
+
+// A machine whose reports arrive while it hears nothing ends its tasks with its
+// lease. None is started twice, none is waited for without end, it gets no more
+// work, and it is returned; also when another controller takes over meanwhile,
+// whose token it never sees.
+func TestDeafMachine(t *testing.T) {
+	for _, takeover := range []bool{false, true} {
+		w := newWorld(t, 21)
+		u := w.submit(sweepJob(1, 12, 50), 0)
+		x := w.running(12)
+		w.deaf[x.Ref] = true
+		if takeover {
+			w.leader().crash()
+		}
+		w.Run(w.Now + 25*model.Second)
+		if n := x.Tasks(); n != 0 {
+			t.Fatalf("takeover %v: %d tasks on a machine without a lease", takeover, n)
+		}
+		l := w.leader()
+		if l == nil {
+			t.Fatal("nobody leads")
+		}
+		w.submit(sweepJob(2, 30, 5), 0)
+		w.until(80*model.Second, "it is returned", func() bool {
+			h := l.ctl.leading.h.Hosts[x.Ref]
+			for _, y := range w.cloud.Workers() {
+				if y == x {
+					return false
+				}
+			}
+			return h == nil
+		})
+		w.until(100*model.Second, "its work is done elsewhere", func() bool { return u.ended == "done" })
+		w.check()
+	}
+}
+
+// Copies of reports come late, from seconds to well over a lease, to any
+// controller, across a takeover and machines that are gone: they revive nothing,
+// and nothing runs twice.
+func TestLateCopiesOfReports(t *testing.T) {
+	w := newWorld(t, 22)
+	w.copies = 0.5
+	var us []*user
+	for i := range 8 {
+		us = append(us, w.submit(sweepJob(i, 8, 12), 0))
+		us = append(us, w.submit(gangJob(20+i, 2, 15), 0))
+	}
+	w.Run(50 * model.Second)
+	w.leader().crash()
+	w.Run(w.Now + 20*model.Second)
+	for _, n := range w.nodes {
+		if !n.alive {
+			n.start()
+		}
+	}
+	w.Run(400 * model.Second)
+	w.check()
+	for _, u := range us {
+		if u.ended != "done" {
+			t.Errorf("%s: %q", u.sub.Ref, u.ended)
+		}
+	}
+	if n := w.cloud.Rented(); n > 3 {
+		t.Errorf("%d machines are still rented", n)
+	}
+}
+
+// A new holder remembers no tally. All the reports that machines ever sent, told
+// to it once more, free no binding, start nothing, and show no machine up.
+func TestNewHolderAndOldCopies(t *testing.T) {
+	w := newWorld(t, 23)
+	w.record = true
+	w.submit(sweepJob(1, 12, 300), 0)
+	x := w.running(12)
+	w.Run(w.Now + 5*model.Second)
+	old := w.heard
+	w.record = false
+	w.leader().crash()
+	x.Die()
+	for _, y := range w.cloud.Workers() {
+		y.Hang(true) // only the copies speak
+	}
+	w.until(15*model.Second, "another leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	l := w.leader().ctl.leading
+	bound := func() (n int) {
+		for _, js := range l.h.Jobs {
+			n += js.BoundCount()
+		}
+		return n
+	}
+	before, starts := bound(), w.rules.Starts
+	took := w.Now
+	for range 3 {
+		for _, tell := range old {
+			tell()
+		}
+		w.Run(w.Now + 3*model.Second)
+	}
+	if w.Now > took+15*model.Second {
+		t.Fatal("the leases may be over by now")
+	}
+	if n := bound(); n != before || before != 12 {
+		t.Errorf("%d of %d bindings are left after copies of old reports", n, before)
+	}
+	if n := w.rules.Starts - starts; n != 0 {
+		t.Errorf("%d starts", n)
+	}
+	for ref, h := range l.h.Hosts {
+		if h.Hears || h.Up {
+			t.Errorf("%s: hears %v, is up %v", ref, h.Hears, h.Up)
+		}
+	}
+	w.check()
+}
+
+// A controller loses the state service and the other controllers, but not its
+// workers. Its authority ends in time, a successor takes over without a broken
+// rule, and a cancellation that it never saw is kept.
+func TestControllerAloneWithItsWorkers(t *testing.T) {
+	w := newWorld(t, 24)
+	w.submit(sweepJob(1, 12, 90), 0)
+	u := w.submit(sweepJob(2, 6, 90), 0)
+	w.running(18)
+	n := w.leader()
+	n.setCut(dropped)
+	n.alone = true
+	cut := w.Now
+	u.cancelAt = w.Now + 2*model.Second
+	w.until(n.ctl.auth.Spans.TTL+3*model.Second, "a successor leads", func() bool { l := w.leader(); return l != nil && l != n && l.ctl.leading.ready })
+	if n.ctl.auth.Holds(n.ctl.clock()) {
+		t.Fatal("two hold authority")
+	}
+	w.until(30*model.Second, "the cancellation is answered", func() bool { return u.ended == "withdrawn" })
+	w.Run(cut + 80*model.Second)
+	n.setCut(open)
+	n.alone = false
+	w.Run(w.Now + 60*model.Second)
+	w.check()
+	if got := w.rules.Starts; got > 18 {
+		t.Errorf("%d starts for 18 tasks: running work was lost", got)
+	}
+}
+
+// Controllers that are back within a fraction of a second, in the middle of
+// elections, while requests of their former selves are carried out once more
+// long afterwards: one leads at a time, and nothing is forgotten or run twice.
+func TestQuickRestartsInElections(t *testing.T) {
+	w := newWorld(t, 25)
+	w.repeats = 0.3
+	var us []*user
+	for i := range 6 {
+		us = append(us, w.submit(sweepJob(i, 8, 20), 0))
+	}
+	w.running(20)
+	var elections []*state.Txn
+	for _, n := range w.nodes {
+		n.intercept = func(m msgCommitted) bool {
+			if m.lane == laneElect {
+				elections = append(elections, m.txn)
+				// It is carried out, but the process is gone before it hears of it.
+				if len(elections)%2 == 1 {
+					_, _ = w.state.Commit(n.name, m.txn) // whatever comes of it
+					n.crash()
+					w.After(w.Between(10*model.Millisecond, 300*model.Millisecond), n.start)
+					return true
+				}
+			}
+			return false
+		}
+	}
+	for range 5 {
+		if l := w.leader(); l != nil {
+			l.crash()
+			w.After(w.Between(10*model.Millisecond, 300*model.Millisecond), l.start)
+		}
+		w.Run(w.Now + 3*model.Second)
+		leaders := 0
+		for _, n := range w.nodes {
+			if n.alive && n.ctl.leading != nil && n.ctl.auth.Holds(n.ctl.clock()) {
+				leaders++
+			}
+		}
+		if leaders > 1 {
+			t.Fatalf("%d lead", leaders)
+		}
+	}
+	for _, n := range w.nodes {
+		n.intercept = nil
+	}
+	w.until(20*model.Second, "somebody leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	token := w.leader().ctl.leading.token
+	for _, e := range elections {
+		if res, err := w.state.Commit("", e); err == nil && res.OK {
+			t.Fatalf("a former election is carried out: %v, %v", res, err)
+		}
+	}
+	if now := w.leader().ctl.leading.token; now != token {
+		t.Fatalf("token %d after %d", now, token)
+	}
+	w.until(200*model.Second, "all is done", func() bool {
+		for _, u := range us {
+			if u.ended != "done" {
+				return false
+			}
+		}
+		return true
+	})
+	w.check()
+}
+
+// A machine that is back within a fraction of a second has lost its tasks, in a
+// new session: they run again, and none twice at once.
+func TestMachineBackAtOnce(t *testing.T) {
+	w := newWorld(t, 26)
+	u := w.submit(sweepJob(1, 12, 20), 0)
+	w.running(12)
+	for range 3 {
+		for _, x := range w.cloud.Workers() {
+			x.Restart()
+		}
+		w.Run(w.Now + 300*model.Millisecond)
+	}
+	w.until(120*model.Second, "it is done", func() bool { return u.ended == "done" })
+	w.check()
+}
+
+// While far more is submitted than can be taken, what is refused is refused at
+// once with when to come back, every question about an accepted job is answered,
+// cancellations go through, and what was accepted runs: also right after a
+// takeover.
+func TestQuestionsAreAnsweredUnderOverload(t *testing.T) {
+	w := newWorld(t, 27)
+	w.until(10*model.Second, "a leader that knows the machine types", func() bool {
+		return w.leader() != nil && len(w.nodes[0].ctl.view.Flavors) > 0 && len(w.nodes[1].ctl.view.Flavors) > 0 && len(w.nodes[2].ctl.view.Flavors) > 0
+	})
+	first := w.submit(sweepJob(1, 4, 60), 0)
+	cancelled := w.submit(sweepJob(2, 4, 60), 30*model.Second)
+	w.running(8)
+	refused, held := 0, 0
+	end := w.Now + 60*model.Second
+	next := 1000
+	var flood func()
+	flood = func() {
+		if w.Now >= end {
+			return
+		}
+		for _, n := range w.nodes {
+			if !n.alive {
+				continue
+			}
+			for range 20 { // 400 a second at each, 25 changes a second may be made
+				next++
+				reply := make(chan userapi.Answer, 1)
+				asked := w.Now
+				s := sweepJob(next, 1, 1)
+				w.rules.Subs[s.Ref] = s.Job(0)
+				n.ask(msgSubmit{s.Ref, s, nil, reply}, func() bool {
+					select {
+					case a := <-reply:
+						w.rules.Tell(s.Ref, a.Code, a.Body, asked)
+						if a.Code == 429 || a.Code == 503 {
+							refused++
+							if a.RetryAfter == 0 {
+								t.Fatalf("refused with %d without a time to come back", a.Code)
+							}
+							if a.Code == 429 && w.Now > asked {
+								held++
+							}
+						}
+						return true
+					default:
+						return false
+					}
+				})
+			}
+		}
+		w.After(50*model.Millisecond, flood)
+	}
+	w.After(0, flood)
+	w.At(w.Now+20*model.Second, func() {
+		l := w.leader()
+		l.crash()
+		w.After(4*model.Second, l.start)
+	})
+	answered, asked := 0, 0
+	var ask func()
+	ask = func() {
+		if w.Now >= end {
+			return
+		}
+		asked++
+		w.call(2*model.Second, func(r chan<- userapi.Answer) any { return msgPoll{first.sub.Ref, r} }, func(a userapi.Answer) {
+			if a.Code == 200 {
+				answered++
+			}
+		})
+		w.After(500*model.Millisecond, ask)
+	}
+	ask()
+	w.Run(end)
+	if refused < 1000 || held > 0 {
+		t.Errorf("%d refused, %d of them held back", refused, held)
+	}
+	if answered < asked*8/10 {
+		t.Errorf("%d of %d questions answered", answered, asked)
+	}
+	if cancelled.ended != "withdrawn" {
+		t.Errorf("the cancelled job is %q", cancelled.ended)
+	}
+	w.until(120*model.Second, "what was accepted first is done", func() bool { return first.ended == "done" })
+	w.check()
+}
+
+// Whatever has been accepted before all controllers end runs or stays known, job
+// by job.
+func TestEveryAcceptedJobStaysKnown(t *testing.T) {
+	w := newWorld(t, 28)
+	var us []*user
+	for i := range 40 {
+		us = append(us, w.submit(sweepJob(i, 1+i%4, 5), 0))
+	}
+	w.Run(12 * model.Second)
+	for round := range 3 {
+		for _, n := range w.nodes {
+			n.crash()
+			w.After(w.Between(50*model.Millisecond, 4*model.Second), n.start)
+		}
+		w.Run(w.Now + model.Second*model.Micros(4+round))
+	}
+	w.Run(w.Now + 10*model.Second)
+	for _, u := range us {
+		if !u.accepted {
+			continue
+		}
+		for _, n := range w.nodes {
+			reply := make(chan userapi.Answer, 1)
+			n.ask(msgPoll{u.sub.Ref, reply}, nil)
+			w.until(3*model.Second, "an answer", func() bool { return len(reply) == 1 })
+			if a := <-reply; a.Code == 404 {
+				t.Errorf("%s is forgotten by %s", u.sub.Ref, n.name)
+			}
+		}
+	}
+	w.until(300*model.Second, "all that was accepted is done", func() bool {
+		for _, u := range us {
+			if u.accepted && u.ended != "done" {
+				return false
+			}
+		}
+		return true
+	})
+	w.check()
+}
+
+// In a full fleet nothing starves: the largest gang of a class begins within
+// four minutes though small ones of its rank come all the time, single tasks of
+// the lowest rank begin beside them, and the small ones go on meanwhile.
+func TestNothingStarvesInAFullFleet(t *testing.T) {
+	w := newWorld(t, 29)
+	w.cloud.Capacity = map[string]int{"small/a/false": 3, "small/b/false": 3}
+	next := 100
+	var small func()
+	small = func() {
+		if w.Now > 500*model.Second {
+			return
+		}
+		next++
+		s := gangJob(next, 1, 20)
+		s.Cores, s.Class = 3, "small"
+		w.submit(s, 0)
+		w.After(1200*model.Millisecond, small)
+	}
+	small()
+	w.Run(60 * model.Second)
+	big := gangJob(1, 6, 20)
+	big.SamePlace, big.Cores = true, 3
+	ub := w.submit(big, 0)
+	low := sweepJob(2, 3, 10)
+	low.Rank, low.Cores = "idle", 2
+	ul := w.submit(low, 0)
+	since := w.Now
+	began := map[string]model.Micros{}
+	before := 0
+	for w.Now < since+240*model.Second {
+		w.Run(w.Now + model.Second)
+		if l := w.leader(); l != nil && l.ctl.leading.ready {
+			for _, ref := range []string{big.Ref, low.Ref} {
+				if js := l.ctl.leading.h.Jobs[ref]; js != nil && js.Begun && began[ref] == 0 {
+					began[ref] = w.Now - since
+				}
+			}
+		}
+		if w.Now == since+20*model.Second {
+			before = w.rules.Starts
+		}
+	}
+	if began[big.Ref] == 0 && ub.ended == "" || began[low.Ref] == 0 && ul.ended == "" {
+		t.Errorf("begun after: %v", began)
+	}
+	if n := w.rules.Starts - before; n < 60 {
+		t.Errorf("only %d tasks began meanwhile", n)
+	}
+	w.check()
+}
+
+// A machine that nobody expected is told the token, and nothing more, until a
+// report bears it: the report may be the copy of one of a machine long gone.
+func TestReportOfOldTokenIsGreetedOnly(t *testing.T) {
+	w := newWorld(t, 30)
+	w.until(5*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	l := w.leader()
+	reply := make(chan workerAnswer, 1)
+	l.ask(msgCheckin{simReport("host-000999"), reply}, nil)
+	a := <-reply
+	if want := string(workerapi.Answer(l.ctl.leading.token, nil)); a.code != 200 || string(a.body) != want {
+		t.Errorf("answered %d %s", a.code, a.body)
+	}
+	if l.ctl.leading.h.Hosts["host-000999"] != nil {
+		t.Error("a machine is in the books though its report may be an old copy")
+	}
+}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -394,6 +394,27 @@
 // Hang stops or resumes the machine.
 func (w *Worker) Hang(on bool) { w.hung = on }
 
+// Restart has the machine back at once, without its tasks and in a new session.
+func (w *Worker) Restart() {
+	for _, t := range slices.Clone(w.tasks) {
+		t.vanish()
+	}
+	w.tasks = nil
+	w.tenure++
+	w.leased = w.sim.Now
+	w.changed()
+}
+
+// Tasks is the number of tasks on the machine.
+func (w *Worker) Tasks() (n int) {
+	for _, t := range w.tasks {
+		if t.status != "ended" {
+			n++
+		}
+	}
+	return n
+}
+
 // Recall gives a spot notice.
 func (w *Worker) Recall(in model.Micros) {
 	w.recall = w.sim.Now + in
