Submissions wait for a second at most; a budget of changes that takes what others leave

A queue of a second's worth of all changes was four seconds' worth of what a controller other than the leader may write: submissions were held until they expired, in a test with far more of them than can be taken. The queue now holds what can be written in about a second, and a controller may take up to a third of the changes as long as none is refused. Tests for work on machines that do not hear, jobs that wait to begin and machines awaited for large gangs.

--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -654,3 +654,100 @@
 		t.Fatalf("%d stopped, want three more cores within the limit", stops)
 	}
 }
+
+// Nothing new is bound to a machine before a report shows that it hears us: one
+// that bears an older token may be an old copy.
+func TestNoWorkForAMachineThatDoesNotHear(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 1, model.Sweep), model.Set{}, "", 0, 0)
+	m := h.AddHost("h1", "box", "a", false, 0)
+	w := newWorker(h, "h1", "box", "a")
+	for i := range model.Micros(4) {
+		w.says(i*sec, 4)
+	}
+	if len(js.Bound) != 0 {
+		t.Fatal("work for a machine whose reports bear an older token")
+	}
+	w.says(4*sec, 5)
+	if len(js.Bound) != 1 {
+		t.Fatal("no work for a machine that hears")
+	}
+	m.Heard, m.MuteSince = 4*sec, 0
+	r := w.r
+	for i := range model.Micros(8) { // its answers are lost: it comes back from the other controllers
+		w.tally++
+		r.Tally, r.Warrant = w.tally, 5
+		h.Take(&r, 10*sec+i*5*sec)
+	}
+	if !h.Deaf(m, 10*sec+35*sec) || h.Deaf(m, 10*sec+20*sec) {
+		t.Fatal("a machine that goes on reporting without hearing is not found out in time")
+	}
+}
+
+// A job that nothing of has begun for long gets the next room, whatever its rank,
+// with one task: the others go on.
+func TestLongWaitingJobBegins(t *testing.T) {
+	for _, wait := range []model.Micros{60 * sec, 200 * sec} {
+		h := newHolder(5)
+		h.AddJob(job("j-1", 90, model.Sweep), model.Set{}, "", 0, 0)
+		w := newWorker(h, "h1", "box", "a")
+		w.starts()
+		low := job("j-2", 3, model.Sweep)
+		low.Rank = model.Idle
+		js := h.AddJob(low, model.Set{}, "", 2*sec, 0)
+		var ps []Piece
+		for _, b := range h.Hosts["h1"].Bound {
+			ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
+		}
+		w.says(wait, 5, ps...)
+		ps[0].Status, ps[0].Cause = model.Ended, "done"
+		ps[1].Status, ps[1].Cause = model.Ended, "done"
+		w.says(wait+sec, 5, ps...)
+		if n := js.BoundCount(); (n == 1) != (wait > 150*sec) || n > 1 || len(h.Hosts["h1"].Bound) != 4 {
+			t.Errorf("after %v s: %d tasks of the waiting job, %d bound in all", wait.Seconds(), n, len(h.Hosts["h1"].Bound))
+		}
+	}
+}
+
+// Machines that come free are kept for a gang that needs several at once and
+// can't have others stopped: work of its own rank would take them one by one.
+func TestMachinesAreAwaitedForALargeGang(t *testing.T) {
+	h := newHolder(5)
+	h.P.Waits = map[string]model.Micros{"c": 40 * sec}
+	one := func(ref string, pieces int, now model.Micros) *model.JobState {
+		j := job(ref, pieces, model.Gang)
+		j.Rank, j.Owner, j.Need.Cores, j.SamePlace = model.Urgent, "blue", 4000, true
+		return h.AddJob(j, model.Set{}, "", now, 0)
+	}
+	var ws []*worker
+	running := map[int]Piece{}
+	for i, ref := range []string{"h1", "h2", "h3"} {
+		one("j-s"+ref, 1, 0)
+		w := newWorker(h, ref, "box", "a")
+		w.starts()
+		b := bound(h, ref)
+		running[i] = Piece{ID: b.ID, Try: b.Try, Status: model.Running}
+		ws = append(ws, w)
+	}
+	big := one("j-big", 2, 3*sec)
+	for i := range 4 {
+		one("j-t"+string(rune('a'+i)), 1, 4*sec)
+	}
+	for i, w := range ws {
+		w.says(60*sec, 5, running[i])
+	}
+	done := running[0]
+	done.Status, done.Cause = model.Ended, "done"
+	ws[0].says(61*sec, 5, done)
+	h.Place(61*sec, true)
+	if b := bound(h, "h1"); b != nil {
+		t.Fatalf("%s took the machine that the large gang waits for", b.ID)
+	}
+	done = running[1]
+	done.Status, done.Cause = model.Ended, "done"
+	ws[1].says(62*sec, 5, done)
+	h.Place(62*sec, true)
+	if len(big.Bound) != 2 {
+		t.Fatal("the large gang is not bound though there is room")
+	}
+}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -41,13 +41,14 @@
 )
 
 // writeShare is a controller's part of the changes that the state service bears:
-// half are the leader's, the others share the rest.
-func (c *controller) writeShare(leads bool) float64 {
-	half := c.set.Params.State.WriteRPS / 2
+// half are the leader's, the others share the rest. As long as nothing is
+// refused, each may take a third.
+func (c *controller) writeShare(leads bool) (share, most float64) {
+	all := c.set.Params.State.WriteRPS
 	if leads || len(c.set.Siblings) == 0 {
-		return half
+		return all / 2, all / 2
 	}
-	return half / float64(len(c.set.Siblings))
+	return all / 2 / float64(len(c.set.Siblings)), all / 3
 }
 
 // held is a response to a worker that waits for bindings to become durable.
@@ -233,6 +234,11 @@
 	return m
 }
 
+func (c *controller) setShare(leads bool) {
+	share, most := c.writeShare(leads)
+	c.budget.SetRate(share, most, c.now)
+}
+
 func (c *controller) elected(m msgCommitted) {
 	c.pauses[laneElect] = c.now + 300*model.Millisecond
 	if m.err != nil || !m.res.OK {
@@ -246,7 +252,7 @@
 		c.view.Put(op.Set, op.Value, m.res.Epoch)
 	}
 	slog.Info("leader", "token", m.res.Epoch)
-	c.budget.SetRate(c.writeShare(true), c.now)
+	c.setShare(true)
 	c.leading = newLeadership(c, m.res.Epoch)
 }
 
@@ -259,7 +265,7 @@
 		h.msg.reply <- c.elsewhere()
 	}
 	c.leading = nil
-	c.budget.SetRate(c.writeShare(false), c.now)
+	c.setShare(false)
 }
 
 // --- catching up
@@ -491,9 +497,9 @@
 	return userapi.State(ref, status, done, running)
 }
 
-// maxUserQueue bounds the submissions that wait: more could not be written in
-// time, and are refused at once.
-func (c *controller) maxUserQueue() int { return max(16, int(c.set.Params.State.WriteRPS)) }
+// maxUserQueue bounds the submissions that wait, to about a second's worth: more
+// could not be written in time, and are refused at once.
+func (c *controller) maxUserQueue() int { return max(4, int(c.budget.Rate())) }
 
 func (c *controller) submit(m msgSubmit) {
 	status, _, _, known := c.view.Status(m.ref)
