--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -24,16 +24,26 @@
 	forgetSize  = 180 * model.Second
 )
 
-// Rhythm of placement rounds: so many times what the last one took is left
-// between two, within bounds. Rounds that may displace work take longer.
+// Rhythm of placement rounds: they take so much of the processor's share that the
+// settings grant, within bounds. Rounds that may displace work take longer.
 const (
 	placeLeast    = 40 * model.Millisecond
 	placeMost     = 400 * model.Millisecond
-	placeShare    = 8
-	displaceMost  = 600 * model.Millisecond
-	displaceShare = 20
+	placeShare    = 0.15
+	displaceMost  = 800 * model.Millisecond
+	displaceShare = 0.1
 )
 
+// pace is the pause after something that took so long, so that it gets no more
+// than a part of the processor's share.
+func (l *leadership) pace(took model.Micros, part float64) model.Micros {
+	cores := l.c.set.Params.Quota.Cores
+	if cores <= 0 || cores > 1 {
+		cores = 1
+	}
+	return model.Micros(float64(took) / (part * cores))
+}
+
 // bytesPerPiece is what a bound piece takes in its host's record at most; a
 // record takes at most half of a bundle.
 const bytesPerPiece = 128
@@ -279,9 +289,9 @@
 	l.h.Place(c.now, displace)
 	took := c.clock() - start
 	if displace {
-		l.displaceGap = min(displaceShare*took, displaceMost)
+		l.displaceGap = min(l.pace(took, displaceShare), displaceMost)
 	} else {
-		l.placeGap = min(max(placeLeast, placeShare*took), placeMost)
+		l.placeGap = min(max(placeLeast, l.pace(took, placeShare)), placeMost)
 	}
 	l.loopSoon = true
 }
