Gangs leave GPU machines to GPU tasks until they get short of time

Cause: a gang task of 30 of 48 cores strands five of eight GPUs, while GPU tasks wait; 8 to 18 of 48 such machines held one.

--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -755,3 +755,33 @@
 		t.Fatal("the large gang is not bound though there is room")
 	}
 }
+
+// A gang that would strand GPUs that are wanted waits for another machine, until
+// it gets short of time.
+func TestGangLeavesWantedGPUs(t *testing.T) {
+	h := newHolder(5)
+	h.P.Waits = map[string]model.Micros{"hot": 100 * sec}
+	gpu := job("j-1", 4, model.Sweep)
+	gpu.Owner, gpu.Need.GPUs, gpu.Need.Cores = "blue", 1000, 3000
+	h.AddJob(gpu, model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "gpu", "a")
+	w.starts()
+	hot := job("j-2", 1, model.Gang)
+	hot.Owner, hot.Class, hot.Rank, hot.Need.Cores = "blue", "hot", model.Urgent, 2000
+	js := h.AddJob(hot, model.Set{}, "", 2*sec, 0)
+	report := func(now model.Micros) {
+		var ps []Piece
+		for id, b := range h.Hosts["h1"].Bound {
+			if id.Job == "j-1" {
+				ps = append(ps, Piece{ID: id, Try: b.Try, Status: model.Running})
+			}
+		}
+		w.says(now, 5, ps...)
+	}
+	if report(3 * sec); len(js.Bound) != 0 {
+		t.Fatal("the gang takes what GPU tasks need, with time to spare")
+	}
+	if report(90 * sec); len(js.Bound) != 1 {
+		t.Fatal("the gang does not take the room when it is short of time")
+	}
+}
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -82,7 +82,7 @@
 type ask struct {
 	builds, yard     string
 	loaners, pressed bool
-	gpus             bool
+	gpus, patient    bool
 }
 
 // Open tells whether the host takes new work now. A machine that does not hear
@@ -194,7 +194,7 @@
 }
 
 func (w *World) ask(j *model.JobState) ask {
-	return ask{strings.Join(j.Builds, " "), j.Yard, j.Loaners, w.pressed(j), j.Need.GPUs > 0}
+	return ask{strings.Join(j.Builds, " "), j.Yard, j.Loaners, w.pressed(j), j.Need.GPUs > 0, w.patient(j)}
 }
 
 // spare sets the reserve: free GPUs that are wanted, on the machines that suit
@@ -285,6 +285,21 @@
 	return j.Rank >= model.Urgent && w.late(j) && w.Patience(j) < 2*stopTime
 }
 
+// patient tells that a gang can still wait for machines that suit it better.
+func (w *World) patient(j *model.JobState) bool {
+	return j.Shape == model.Gang && w.Patience != nil && w.Now-j.SeenAt < w.Patience(j)*8/5
+}
+
+// dear tells that a gang would strand GPUs on a machine that are wanted and worth
+// more than the gang takes. It goes there only when it gets short of time.
+func (w *World) dear(j *model.JobState, h *model.Host) bool {
+	if h.Size.GPUs == 0 || j.Need.GPUs > 0 || w.GPUs == 0 || h.Size.Cores == 0 || !w.patient(j) {
+		return false
+	}
+	stranded := model.Need{GPUs: h.Size.GPUs * j.Need.Cores / h.Size.Cores}
+	return 2*value(stranded) > 3*value(j.Need)
+}
+
 type candidate struct {
 	r    *room
 	cost model.Micros
@@ -306,7 +321,7 @@
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		u := r.usable(a)
-		if !j.Need.Fits(u) || !j.Allows(r.h.Build, r.h.Yard, r.h.Spot) {
+		if !j.Need.Fits(u) || !j.Allows(r.h.Build, r.h.Yard, r.h.Spot) || w.dear(j, r.h) {
 			continue
 		}
 		rs = append(rs, r)
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -34,7 +34,7 @@
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		h := r.h
-		if !j.Need.Fits(h.Size) || !j.Allows(h.Build, h.Yard, h.Spot) || !suits(h) {
+		if !j.Need.Fits(h.Size) || !j.Allows(h.Build, h.Yard, h.Spot) || w.dear(j, h) || !suits(h) {
 			continue
 		}
 		w.look(r)
@@ -196,7 +196,7 @@
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		h := r.h
-		if !j.Need.Fits(h.Size.Minus(r.kept)) || !j.Allows(h.Build, h.Yard, h.Spot) || w.awaited[h.Yard] {
+		if !j.Need.Fits(h.Size.Minus(r.kept)) || !j.Allows(h.Build, h.Yard, h.Spot) || w.awaited[h.Yard] || w.dear(j, h) {
 			continue
 		}
 		// Room for one task after another, as the present ones end.
