--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -723,7 +723,7 @@
 	}
 	w.Patience = func(j *model.JobState) model.Micros {
 		if p, ok := h.P.Waits[j.Class]; ok {
-			if p < 20*model.Second {
+			if p < 60*model.Second {
 				return p / 4
 			}
 			return p * 2 / 5
