--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -80,13 +80,7 @@
 	// A hanging machine resumes within its lease or not at all, so its tasks
 	// count as gone from then on.
 	if w.sim.Now-w.leased > w.t.Lease {
-		for _, t := range slices.Clone(w.tasks) {
-			t.vanish()
-		}
-		w.tasks = nil
-		w.tenure++
-		w.leased = w.sim.Now
-		w.changed()
+		w.Restart()
 	}
 	w.sim.After(100*model.Millisecond, w.watchLease)
 }
@@ -394,7 +388,7 @@
 // Hang stops or resumes the machine.
 func (w *Worker) Hang(on bool) { w.hung = on }
 
-// Restart has the machine back at once, without its tasks and in a new session.
+// Restart ends the session with all its tasks, and begins the next at once.
 func (w *Worker) Restart() {
 	for _, t := range slices.Clone(w.tasks) {
 		t.vanish()
