--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -231,7 +231,7 @@
 // What a choice costs, counted in the time that it makes a task wait.
 const (
 	costOrdinary = model.Second      // an ordinary machine, where a spot machine would do
-	costGPUHost  = 10 * model.Second // a GPU machine for a task without GPUs
+	costGPUHost  = model.Second      // a GPU machine for a task without GPUs
 	costStrand   = 8 * model.Second  // leaving GPUs that nothing can use
 	costErred    = 30 * model.Second // the job has failed there before
 	costSlow     = 20 * model.Second // the machine seemed slow lately
