A fleet that seems deaf is not returned: the fault may be the controller's own

A controller that falls behind answers too late, and every machine then looks as if it did not hear. The test fails without the check.

--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -476,9 +476,23 @@
 	return 2
 }
 
+// deafAlone tells that few machines do not hear us. When many don't, the fault may
+// be ours, as when this controller falls behind, and returning them all would be
+// worse than any of it.
+func (l *leadership) deafAlone() bool {
+	mute := 0
+	for _, h := range l.h.Hosts {
+		if h.MuteSince != 0 {
+			mute++
+		}
+	}
+	return mute <= max(1, len(l.h.Hosts)/4)
+}
+
 // clean returns machines that are of no use, and sends deletions.
 func (l *leadership) clean() {
 	c := l.c
+	alone := l.deafAlone()
 	for ref, h := range l.h.Hosts {
 		f := l.h.Flavors[h.Build]
 		silent := c.now - max(h.Heard, h.RentedAt)
@@ -490,7 +504,7 @@
 			l.giveBack(h, "not listed any more")
 		case h.Up && h.Lost && silent > l.h.LeaseOver()+5*model.Second:
 			l.giveBack(h, "silent")
-		case l.h.Deaf(h, c.now):
+		case alone && l.h.Deaf(h, c.now):
 			l.giveBack(h, "does not hear")
 		case h.Leaving && len(h.Bound) == 0:
 			l.giveBack(h, "not wanted")
--- a/internal/node/troubles_test.go
+++ b/internal/node/troubles_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"testing"
 
 	"woadweir/internal/core/model"
@@ -59,6 +60,28 @@
 	}
 }
 
+// When no machine hears, the fault may be the controller's: they are not all
+// returned, and go on once they hear again.
+func TestWholeFleetIsNotReturnedAsDeaf(t *testing.T) {
+	w := newWorld(t, 32)
+	u := w.submit(sweepJob(1, 16, 40), 0)
+	w.running(16)
+	before := w.cloud.Workers()
+	for _, x := range before {
+		w.deaf[x.Ref] = true
+	}
+	w.Run(w.Now + 60*model.Second)
+	clear(w.deaf)
+	now := w.cloud.Workers()
+	for _, x := range before {
+		if !slices.Contains(now, x) {
+			t.Errorf("%s was returned", x.Ref)
+		}
+	}
+	w.until(150*model.Second, "it is done", func() bool { return u.ended == "done" })
+	w.check()
+}
+
 // Copies of reports come late, from seconds to well over a lease, to any
 // controller, across a takeover and machines that are gone: they revive nothing,
 // and nothing runs twice.
