Say once how a slot is booked and how tests wait for a leader; a comment at its function

No behaviour changes: LoadSlot only wrapped what it now is, the tests' wait for a leader that has taken over stood in eight places, and lead's comment stood at due.

--- a/internal/core/block/writes.go
+++ b/internal/core/block/writes.go
@@ -80,14 +80,10 @@
 // Queued is the number of records waiting to be written.
 func (h *Holder) Queued() int { return len(h.queue) }
 
-// LoadSlot takes note of a bundle that an earlier holder wrote. Bundles have to
-// be loaded in the order in which they were written.
+// LoadSlot books what stands durably in a slot: a bundle that was just written, or
+// one of an earlier holder's. Bundles have to be booked in the order in which they
+// were written.
 func (h *Holder) LoadSlot(k int, names []string) {
-	h.settleSlot(k, names)
-}
-
-// settleSlot books what stands durably in a slot now.
-func (h *Holder) settleSlot(k int, names []string) {
 	for len(h.slots) <= k {
 		h.slots = append(h.slots, &slot{})
 	}
@@ -321,7 +317,7 @@
 				js.ProgStored = max(js.ProgStored, ver)
 			}
 		}
-		h.settleSlot(w.Slot, names)
+		h.LoadSlot(w.Slot, names)
 		h.pinned = slices.DeleteFunc(h.pinned, func(k int) bool { return k == w.Slot })
 	}
 }
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -23,6 +23,12 @@
 	}
 }
 
+// led waits until somebody leads and has taken over.
+func (w *world) led(limit model.Micros) {
+	w.t.Helper()
+	w.until(limit, "somebody leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+}
+
 // A cut-off leader is replaced when its session is over, its held transactions
 // are carried out late without effect, and no rule breaks.
 func TestTakeoverWithLateCommits(t *testing.T) {
@@ -53,7 +59,7 @@
 // the same key, under the same grant. It must not bring the old value back.
 func TestOwnLateCommitChangesNothing(t *testing.T) {
 	w := newWorld(t, 4)
-	w.until(5*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	w.led(5 * model.Second)
 	n := w.leader()
 	var held *state.Txn
 	n.intercept = func(m msgCommitted) bool {
@@ -82,7 +88,7 @@
 // nothing, even where the new holder has not written the same keys yet.
 func TestFormerHoldersCommitIsShutOut(t *testing.T) {
 	w := newWorld(t, 14)
-	w.until(5*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	w.led(5 * model.Second)
 	n := w.leader()
 	var held *state.Txn
 	n.intercept = func(m msgCommitted) bool {
@@ -125,7 +131,7 @@
 	n.crash()
 	w.Run(w.Now + 200*model.Millisecond)
 	n.start()
-	w.until(3*model.Second, "somebody leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	w.led(3 * model.Second)
 	if now := w.leader().ctl.leading.token; now <= token {
 		t.Fatalf("token %d after %d", now, token)
 	}
@@ -158,7 +164,7 @@
 			return true
 		}
 	}
-	w.until(10*model.Second, "somebody leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	w.led(10 * model.Second)
 	if token := w.leader().ctl.leading.token; lost == 0 || token <= lost {
 		t.Fatalf("leads under token %d, the lost election's was %d", token, lost)
 	}
@@ -289,7 +295,7 @@
 func TestCreditsAcrossATakeover(t *testing.T) {
 	w := newWorld(t, 11)
 	for range 4 {
-		w.until(20*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+		w.led(20 * model.Second)
 		n := w.leader()
 		sum := map[string]model.Need{}
 		for _, g := range n.ctl.view.Grants {
@@ -357,7 +363,7 @@
 // Without authority no worker gets a 200, however early its lease ends.
 func TestNoAnswerToWorkersWithoutAuthority(t *testing.T) {
 	w := newWorld(t, 13)
-	w.until(5*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	w.led(5 * model.Second)
 	n := w.leader()
 	spans := n.ctl.auth.Spans
 	for _, o := range w.nodes {
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -150,7 +150,7 @@
 	l.loopSoon = true
 }
 
-// lead does what is due for a leader.
+// due tells that something is to be done again, and notes that it is done now.
 func (l *leadership) due(at *model.Micros, gap model.Micros) bool {
 	if *at != 0 && l.c.now-*at < gap {
 		return false
@@ -159,6 +159,7 @@
 	return true
 }
 
+// lead does what is due for a leader.
 func (c *controller) lead() {
 	l := c.leading
 	if !l.ready || !c.auth.Holds(c.now) {
--- a/internal/node/troubles_test.go
+++ b/internal/node/troubles_test.go
@@ -235,7 +235,7 @@
 	for _, n := range w.nodes {
 		n.intercept = nil
 	}
-	w.until(20*model.Second, "somebody leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	w.led(20 * model.Second)
 	token := w.leader().ctl.leading.token
 	for _, e := range elections {
 		if res, err := w.state.Commit("", e); err == nil && res.OK {
@@ -456,7 +456,7 @@
 // report bears it: the report may be the copy of one of a machine long gone.
 func TestReportOfOldTokenIsGreetedOnly(t *testing.T) {
 	w := newWorld(t, 30)
-	w.until(5*model.Second, "a leader", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
+	w.led(5 * model.Second)
 	l := w.leader()
 	reply := make(chan workerAnswer, 1)
 	l.ask(msgCheckin{simReport("host-000999"), reply}, nil)
