Order within a class by what can still meet its aims; bundles without a search

Cause: padron-sync and save-merge were served by age alone, because a class with a start aim was ranked by age. Within a team, the order by guarantee did the same a second time; it now counts job by job only where an aim does. Now: what can meet all aims first, least left; then what has missed one; what is about to miss the last start aim goes first as long as the queue can be had in that time; and what would not begin in four minutes, by the rate of its class, in time. A job of which tasks are done has begun, also for a new holder.

Also: a transaction looked through all entries of all slots for the emptiest one; sizes are now counted as bundles are written.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -182,26 +182,17 @@
 	return m
 }
 
-// Waits gives, by class, the shortest time within which its tasks are to start.
-func (s *Settings) Waits() map[string]model.Micros {
-	m := map[string]model.Micros{}
-	for _, o := range s.Params.Objectives {
-		if o.Kind != "wait" || o.Class == "" || o.WithinS <= 0 {
-			continue
-		}
-		if w, ok := m[o.Class]; !ok || model.Seconds(o.WithinS) < w {
-			m[o.Class] = model.Seconds(o.WithinS)
-		}
-	}
-	return m
-}
+// Waits gives, by class, the times within which its tasks are to start, ascending.
+func (s *Settings) Waits() map[string][]model.Micros { return s.within("wait") }
 
 // Finish gives, by class, the times within which its jobs are to be done,
 // ascending.
-func (s *Settings) Finish() map[string][]model.Micros {
+func (s *Settings) Finish() map[string][]model.Micros { return s.within("finished") }
+
+func (s *Settings) within(kind string) map[string][]model.Micros {
 	m := map[string][]model.Micros{}
 	for _, o := range s.Params.Objectives {
-		if o.Kind == "finished" && o.Class != "" && o.WithinS > 0 {
+		if o.Kind == kind && o.Class != "" && o.WithinS > 0 {
 			m[o.Class] = append(m[o.Class], model.Seconds(o.WithinS))
 		}
 	}
@@ -211,6 +202,11 @@
 	return m
 }
 
+// Guarantee tells that work within a team's guarantee has an aim of its own.
+func (s *Settings) Guarantee() bool {
+	return slices.ContainsFunc(s.Params.Objectives, func(o Objective) bool { return o.Kind == "guarantee" })
+}
+
 // Operator is the operators' own file.
 type Operator struct {
 	XMLName           xml.Name `xml:"woadweir"`
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -71,7 +71,7 @@
 	if tm := s.Teams()["red"]; tm.Max.Cores != 136_000 || tm.Max.GPUs != 0 || tm.Guaranteed.Cores != 64_000 {
 		t.Errorf("team %+v", tm)
 	}
-	if w := s.Waits()["c"]; w != 8*model.Second {
+	if w := s.Waits()["c"]; len(w) != 2 || w[0] != 8*model.Second || w[1] != 18*model.Second {
 		t.Errorf("waits %v", w)
 	}
 	if f := s.Finish()["d"]; len(f) != 1 || f[0] != 150*model.Second {
--- a/internal/core/block/bench_test.go
+++ b/internal/core/block/bench_test.go
@@ -11,16 +11,16 @@
 func bigFleet() (h *Holder, workers []*worker) {
 	h = New(Params{
 		Teams: map[string]*model.Team{
-			"red":  {Name: "red", Guaranteed: model.Need{Cores: 9_000_000, GPUs: 700_000}, Max: model.Need{Cores: 30_000_000, GPUs: 2_500_000}},
-			"blue": {Name: "blue", Guaranteed: model.Need{Cores: 9_000_000}, Max: model.Need{Cores: 30_000_000}},
+			"red":  {Name: "red", Guaranteed: model.Need{Cores: 40_000_000, GPUs: 3_000_000}, Max: model.Need{Cores: 90_000_000, GPUs: 9_000_000}},
+			"blue": {Name: "blue", Guaranteed: model.Need{Cores: 40_000_000}, Max: model.Need{Cores: 90_000_000}},
 		},
-		Report: 5 * sec / 2, Lease: 18 * sec, GangWait: 30 * sec, Margin: sec, MaxValue: 28_000, MaxBound: 250,
-		Waits: map[string]model.Micros{"gang": 30 * sec},
+		Report: 5 * sec, Lease: 26500 * model.Millisecond, GangWait: 30 * sec, Margin: sec, MaxValue: 28_000, MaxBound: 250,
+		Waits: map[string][]model.Micros{"gang": {30 * sec}},
 	}, 5)
 	h.SetFlavors([]model.Flavor{
 		{Label: "box", Cores: 16, MemoryGB: 64, CacheGB: 60, FetchGBps: 0.2, Price: 0.86, LowPrice: 0.2, BootS: 20, Yards: []string{"a"}},
 		{Label: "gpu", Cores: 96, GPUs: 8, MemoryGB: 384, CacheGB: 80, FetchGBps: 0.6, Price: 27, LowPrice: 6.9, BootS: 25, Yards: []string{"a"}}})
-	for i := range 600 {
+	for i := range 1900 {
 		build := "box"
 		if i%2 == 0 {
 			build = "gpu"
@@ -39,10 +39,10 @@
 		}
 		h.AddJob(j, model.Set{}, "", 0, 0)
 	}
-	for range 70 {
+	for range 150 {
 		add(6, model.Gang, model.Need{Cores: 15_000, Mem: 51_000}, "gang", "blue")
 	}
-	for range 320 {
+	for range 720 {
 		add(40, model.Sweep, model.Need{Cores: 10_000, GPUs: 1000, Mem: 36_000}, "array", "red")
 	}
 	for range 2 {
--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -20,9 +20,12 @@
 	GangWait model.Micros
 	MaxBound int                       // pieces on one machine, so that its record fits a value; 0: no bound
 	MaxValue int                       // bytes of a bundle
-	Waits    map[string]model.Micros   // by class: the time within which its tasks are to start
+	Waits    map[string][]model.Micros // by class: the times within which its tasks are to start, ascending
 	Finish   map[string][]model.Micros // by class: the times within which its jobs are to be done, ascending
-	Margin   model.Micros              // added where the end of another's lease is waited for
+	// Guarantee tells that work within a team's guarantee is to go before what is
+	// beyond it, job by job.
+	Guarantee bool
+	Margin    model.Micros // added where the end of another's lease is waited for
 }
 
 // Piece is a task in a report.
@@ -94,6 +97,7 @@
 	runs   map[string]*runStat
 
 	keeps map[*model.JobState][]place.Keep
+	loads map[string]load // by class, of the last round
 }
 
 // New makes a holder with nothing in it.
@@ -116,7 +120,7 @@
 	if js := h.Jobs[j.Ref]; js != nil {
 		return js
 	}
-	js := &model.JobState{Job: j, Done: done, Ended: ended, Bound: map[int][]*model.Bound{}, SeenAt: now - age}
+	js := &model.JobState{Job: j, Done: done, Ended: ended, Bound: map[int][]*model.Bound{}, SeenAt: now - age, IdleAt: now - age}
 	if ended == "" {
 		js.Waiting = make([]int, 0, j.Pieces-done.Len())
 		for i := range j.Pieces {
@@ -224,6 +228,7 @@
 	js.Bound[b.ID.N] = slices.DeleteFunc(js.Bound[b.ID.N], func(x *model.Bound) bool { return x == b })
 	if len(js.Bound[b.ID.N]) == 0 {
 		delete(js.Bound, b.ID.N)
+		js.IdleAt = now
 		if js.Ended == "" && !js.Done.Has(b.ID.N) {
 			if i, ok := slices.BinarySearch(js.Waiting, b.ID.N); !ok {
 				js.Waiting = slices.Insert(js.Waiting, i, b.ID.N)
@@ -679,7 +684,7 @@
 
 // World is what a placement round looks at.
 func (h *Holder) World(now model.Micros) *place.World {
-	w := &place.World{Now: now, Silent: 3 * h.P.Report, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
+	w := &place.World{Now: now, ByGuarantee: h.P.Guarantee, Silent: 3 * h.P.Report, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
 		Hosts: make([]*model.Host, 0, len(h.Hosts)), Jobs: make([]*model.JobState, 0, len(h.Jobs))}
 	for _, m := range h.Hosts {
 		w.Hosts = append(w.Hosts, m)
@@ -722,7 +727,8 @@
 		h.stop(b, leeway, why, now)
 	}
 	w.Patience = func(j *model.JobState) model.Micros {
-		if p, ok := h.P.Waits[j.Class]; ok {
+		if ps := h.P.Waits[j.Class]; len(ps) > 0 {
+			p := ps[0]
 			if p < 60*model.Second {
 				return p / 4
 			}
@@ -730,6 +736,8 @@
 		}
 		return 180 * model.Second
 	}
+	h.drains(w.Jobs, now)
+	w.Rate = func(class string) float64 { return h.loads[class].rate }
 	w.Left = func(b *model.Bound) model.Micros { return h.Remaining(b, now) }
 	w.Due = func(j *model.JobState) model.Micros { return h.due(j, now) }
 	w.Bind = func(j *model.JobState, n int, m *model.Host, try uint64) { h.bind(j, n, m, try, now) }
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -1,6 +1,8 @@
 package block
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	"woadweir/internal/core/model"
@@ -558,7 +560,7 @@
 // A queue of urgent work stops work of lower rank, and never work of its own.
 func TestPreemption(t *testing.T) {
 	h := newHolder(5)
-	h.P.Waits = map[string]model.Micros{"hot": 8 * sec}
+	h.P.Waits = map[string][]model.Micros{"hot": {8 * sec}}
 	low := job("j-1", 4, model.Sweep)
 	low.Rank, low.Owner = model.Idle, "blue"
 	h.AddJob(low, model.Set{}, "", 0, 0)
@@ -623,7 +625,7 @@
 // the team for ever, and has them stopped once it is late.
 func TestGangIsOwedItsTeamsLimit(t *testing.T) {
 	h := newHolder(5)
-	h.P.Waits = map[string]model.Micros{"hot": 40 * sec}
+	h.P.Waits = map[string][]model.Micros{"hot": {40 * sec}}
 	h.AddJob(job("j-1", 30, model.Sweep), model.Set{}, "", 0, 0)
 	for _, ref := range []string{"h1", "h2", "h3", "h4", "h5"} {
 		newWorker(h, ref, "box", "a").says(sec, 5)
@@ -717,7 +719,7 @@
 // can't have others stopped: work of its own rank would take them one by one.
 func TestMachinesAreAwaitedForALargeGang(t *testing.T) {
 	h := newHolder(5)
-	h.P.Waits = map[string]model.Micros{"c": 40 * sec}
+	h.P.Waits = map[string][]model.Micros{"c": {40 * sec}}
 	one := func(ref string, pieces int, now model.Micros) *model.JobState {
 		j := job(ref, pieces, model.Gang)
 		j.Rank, j.Owner, j.Need.Cores, j.SamePlace = model.Urgent, "blue", 4000, true
@@ -760,7 +762,7 @@
 // it gets short of time.
 func TestGangLeavesWantedGPUs(t *testing.T) {
 	h := newHolder(5)
-	h.P.Waits = map[string]model.Micros{"hot": 100 * sec}
+	h.P.Waits = map[string][]model.Micros{"hot": {100 * sec}}
 	gpu := job("j-1", 4, model.Sweep)
 	gpu.Owner, gpu.Need.GPUs, gpu.Need.Cores = "blue", 1000, 3000
 	h.AddJob(gpu, model.Set{}, "", 0, 0)
@@ -785,3 +787,135 @@
 		t.Fatal("the gang does not take the room when it is short of time")
 	}
 }
+
+// Of a class's waiting jobs, that with least left goes first while it can meet all
+// aims; what has missed one comes next, and at last what can meet none. Serving by
+// age alone makes every job late once more is asked than there is room for.
+func TestOrderWithinAClass(t *testing.T) {
+	h := newHolder(5)
+	h.P.Waits = map[string][]model.Micros{"c": {30 * sec, 150 * sec}}
+	now := 200 * sec
+	run := h.AddJob(job("j-run", 20, model.Sweep), model.Set{}, "", now, 0)
+	m := h.AddHost("h1", "box", "a", false, 0)
+	for n := range 20 { // two end in a second
+		h.book(run, n, m, uint64(n+1), now)
+	}
+	add := func(ref string, pieces int, age model.Micros) *model.JobState {
+		j := job(ref, pieces, model.Gang)
+		j.Order = uint64(now - age)
+		return h.AddJob(j, model.Set{}, "", now, age)
+	}
+	want := []*model.JobState{add("j-small", 2, 5*sec), add("j-large", 12, 20*sec), add("j-missed", 2, 40*sec), add("j-hopeless", 2, 160*sec)}
+	order := func() []*model.JobState {
+		w := h.World(now)
+		w.Sort()
+		return slices.DeleteFunc(w.Jobs, func(j *model.JobState) bool { return len(j.Waiting) == 0 })
+	}
+	if got := order(); !slices.Equal(got, want) {
+		for i, j := range got {
+			t.Errorf("%s is served as number %d", j.Ref, i)
+		}
+	}
+	// As long as what waits can be had in time, what is about to miss the last time
+	// goes first; else this would only make all the others late.
+	near := add("j-near", 12, 118*sec)
+	if j := order()[0]; j != near {
+		t.Errorf("%s goes before what is about to be late", j.Ref)
+	}
+	add("j-crowd", 400, 0)
+	if j := order()[0]; j != want[0] {
+		t.Errorf("%s goes first though not all can begin in time", j.Ref)
+	}
+}
+
+// Jobs begin by turns early enough that all do within four minutes, by the rate
+// at which tasks of their class begin. One of which tasks are done has begun, also
+// for a new holder that saw none of them run; but what has begun, and has had
+// nothing on a machine for as long, is not left out for ever either.
+func TestJobsBeginInTimeByTheRateOfTheirClass(t *testing.T) {
+	h := newHolder(5)
+	now := 200 * sec
+	run := h.AddJob(job("j-run", 5, model.Sweep), model.Set{}, "", now, 190*sec)
+	m := h.AddHost("h1", "box", "a", false, 0)
+	for n := range 5 { // of ten seconds each: one begins every two seconds
+		h.book(run, n, m, uint64(n+1), now)
+	}
+	run.Begun = true
+	var old []*model.JobState
+	for i := range 20 {
+		old = append(old, h.AddJob(job("j-"+string(rune('a'+i)), 3, model.Sweep), model.Set{}, "", now, 100*sec))
+	}
+	done := model.Set{}
+	done.Add(0)
+	begun := h.AddJob(job("j-begun", 3, model.Sweep), done, "", now, 190*sec)
+	begun.IdleAt = 150 * sec
+	starved := func() (n int) {
+		h.World(now).Sort()
+		for _, j := range old {
+			if j.Starved {
+				n++
+			}
+		}
+		return n
+	}
+	if n := starved(); n != 0 || begun.Starved {
+		t.Errorf("%d of 20 go before all others though they would begin in 140 s, one that has begun: %v", n, begun.Starved)
+	}
+	for i := range 40 {
+		j := h.AddJob(job("j-more"+string(rune('a'+i)), 3, model.Sweep), model.Set{}, "", now, 100*sec)
+		j.Order = 1
+		old = append(old, j)
+	}
+	if n := starved(); n != 60 {
+		t.Errorf("%d of 60 go before all others though the last would begin after 220 s", n)
+	}
+	begun.IdleAt = now - 190*sec
+	if starved(); !begun.Starved {
+		t.Error("what lost its machines three minutes ago goes after all else")
+	}
+}
+
+// What has to be written along with a change stays little, and slots stay few,
+// however long machines come, change and go.
+func TestSlotsStayFew(t *testing.T) {
+	h := newHolder(5)
+	js := h.AddJob(job("j-1", 90_000, model.Sweep), model.Set{}, "", 0, 0)
+	next := 0
+	add := func() *model.Host {
+		next++
+		m := h.AddHost(fmt.Sprintf("host-%06d", next), "box", "a", false, 0)
+		for k := range 6 {
+			h.bind(js, next*8+k, m, h.NextTry(), 0)
+		}
+		return m
+	}
+	var ms []*model.Host
+	for range 300 {
+		ms = append(ms, add())
+	}
+	write(h, sec)
+	for i := range 3000 {
+		k := i * 7 % len(ms)
+		if i%5 == 0 {
+			h.HostGone(ms[k].Ref, "deleted", sec)
+			ms[k] = add()
+		} else {
+			h.touch(ms[k])
+		}
+		write(h, sec)
+	}
+	total := 0
+	for e, k := range h.liveAt {
+		if h.kept(e, k) {
+			total += h.size(e)
+		}
+	}
+	if most := 4*total/h.P.MaxValue + 8; len(h.slots) > most {
+		t.Errorf("%d slots for %d bytes, want at most %d", len(h.slots), total, most)
+	}
+	for k, s := range h.slots {
+		if _, size := h.carried(k); s.live < size {
+			t.Errorf("slot %d: %d bytes are kept, %d counted", k, size, s.live)
+		}
+	}
+}
--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -46,29 +46,90 @@
 	return max(e-ran, ran/4)
 }
 
-// due ranks jobs of the same rank. What is to start soon goes by age. Of what
-// can still be in time (its deadline, or one of its class's aims), that with
-// least left to do goes first, so that most jobs are in time when not all can
-// be. What can't be in time any more goes after all else, by age.
-func (h *Holder) due(j *model.JobState, now model.Micros) model.Micros {
-	if _, ok := h.P.Waits[j.Class]; ok {
-		return j.SeenAt
+// load is what a class asks for and gets.
+type load struct {
+	rate    float64 // tasks that end in a second, and make room for others
+	waiting int     // tasks
+}
+
+// drain is how long it takes until what waits now has begun.
+func (l load) drain() model.Micros {
+	if l.waiting == 0 {
+		return 0
+	}
+	if l.rate <= 0 {
+		return forever
 	}
+	return model.Seconds(min(float64(l.waiting)/l.rate, forever.Seconds()))
+}
+
+const forever = model.Micros(1) << 50
+
+// drains finds out the load of every class: from what is bound, so that a new
+// holder knows it at once.
+func (h *Holder) drains(jobs []*model.JobState, now model.Micros) {
+	h.loads = make(map[string]load, len(h.runs)+1)
+	for _, j := range jobs {
+		l := h.loads[j.Class]
+		if n := len(j.Bound); n > 0 {
+			l.rate += float64(n) / max(h.Expected(j.Job), model.Second).Seconds()
+		}
+		if now >= j.NotBefore {
+			l.waiting += len(j.Waiting)
+		}
+		h.loads[j.Class] = l
+	}
+}
+
+// missed is where the due times begin of jobs that have missed an aim, but can
+// still meet another.
+const missed = place.Late / 2
+
+// nearMost bounds how long a job may be overtaken by others that have less to do:
+// half of the four minutes in which even the largest are to begin.
+const nearMost = 120 * model.Second
+
+// due ranks jobs of the same rank. Of what can still meet all aims of its class,
+// that with least left to do goes first, so that most jobs are in time when not
+// all can be; then what has missed one and can meet another, and at last, by age,
+// what can't be in time any more. What is about to miss the last time in which it
+// is to start goes before all these, as long as what waits can all be had in that
+// time: if it can't, this would only make everything late.
+func (h *Holder) due(j *model.JobState, now model.Micros) model.Micros {
 	run := h.Expected(j.Job)
-	end := now + run*9/10
 	left := run * model.Micros(len(j.Waiting))
-	if j.Due > 0 {
-		if at := j.SeenAt + j.Due; end <= at {
-			return left
+	age, end := now-j.SeenAt, now-j.SeenAt+run*9/10
+	met, lost := 0, 0
+	aim := func(in bool) {
+		if in {
+			met++
+		} else {
+			lost++
 		}
-		return place.Late + j.SeenAt
 	}
-	for _, f := range h.P.Finish[j.Class] {
-		if at := j.SeenAt + f; end <= at {
-			return left
+	waits := h.P.Waits[j.Class]
+	if n := len(waits); n > 0 {
+		last := waits[n-1]
+		if near := min(last*3/4, nearMost); age >= near && age < last && h.loads[j.Class].drain() < last*3/4 {
+			return j.SeenAt - place.Late
+		}
+		for _, w := range waits {
+			aim(age < w)
 		}
 	}
-	return place.Late + j.SeenAt
+	if j.Due > 0 {
+		aim(end <= j.Due)
+	}
+	for _, f := range h.P.Finish[j.Class] {
+		aim(end <= f)
+	}
+	switch {
+	case met == 0:
+		return place.Late + j.SeenAt
+	case lost == 0 || len(waits) == 0:
+		return left
+	}
+	return missed + left
 }
 
 // What makes a machine seem slow: two tasks that run for three times as long as
--- a/internal/core/block/writes.go
+++ b/internal/core/block/writes.go
@@ -61,8 +61,12 @@
 	size  int
 }
 
-// slot is a place for a bundle: what stands there durably.
-type slot struct{ has map[string]bool }
+// slot is a place for a bundle: what stands there durably, with the sizes it had
+// when it was written, and how much of that is the latest version.
+type slot struct {
+	has  map[string]int
+	live int
+}
 
 func (h *Holder) push(entry string) {
 	if !h.queued[entry] {
@@ -89,16 +93,21 @@
 	}
 	s := h.slots[k]
 	old := s.has
-	s.has = make(map[string]bool, len(names))
+	s.has, s.live = make(map[string]int, len(names)), 0
 	for _, e := range names {
-		s.has[e] = true
-		if !old[e] {
+		size := h.size(e)
+		s.has[e] = size
+		s.live += size
+		if _, ok := old[e]; !ok {
 			h.copies[e]++
 		}
+		if was, ok := h.liveAt[e]; ok && was != k {
+			h.slots[was].live -= h.slots[was].has[e]
+		}
 		h.liveAt[e] = k
 	}
 	for e := range old {
-		if s.has[e] {
+		if _, ok := s.has[e]; ok {
 			continue
 		}
 		if h.copies[e]--; h.copies[e] == 0 {
@@ -164,7 +173,7 @@
 // overtaken, its late copy could bring back old values. A new slot is added when
 // all are rather full.
 func (h *Holder) open(taken map[int]bool) *Write {
-	best, bestSize := -1, 0
+	best := -1
 	for _, k := range h.pinned {
 		if !taken[k] {
 			best = k
@@ -172,15 +181,15 @@
 		}
 	}
 	if best < 0 {
-		for k := range h.slots {
-			if taken[k] {
-				continue
-			}
-			if _, size := h.carried(k); best < 0 || size < bestSize {
-				best, bestSize = k, size
+		best = h.emptiest(taken)
+		if best >= 0 && h.slots[best].live > h.P.MaxValue/4 {
+			// What has ended since may be all that fills them.
+			for k := range h.slots {
+				h.recount(k)
 			}
+			best = h.emptiest(taken)
 		}
-		if best < 0 || bestSize > h.P.MaxValue/4 {
+		if best < 0 || h.slots[best].live > h.P.MaxValue/4 {
 			best = len(h.slots)
 			h.slots = append(h.slots, &slot{})
 		}
@@ -195,6 +204,32 @@
 	return w
 }
 
+// recount finds out anew how much of a slot still has to be kept.
+func (h *Holder) recount(k int) {
+	s := h.slots[k]
+	s.live = 0
+	for e := range s.has {
+		s.has[e] = 0
+		if h.kept(e, k) {
+			s.has[e] = h.size(e)
+			s.live += s.has[e]
+		}
+	}
+}
+
+// emptiest is the slot in which least is still the latest version, -1 if all are
+// taken. Looking through all entries of all slots would cost more, on a large
+// fleet, than all else that a transaction takes.
+func (h *Holder) emptiest(taken map[int]bool) int {
+	best := -1
+	for k, s := range h.slots {
+		if !taken[k] && (best < 0 || s.live < h.slots[best].live) {
+			best = k
+		}
+	}
+	return best
+}
+
 // include puts an entry's present value into a bundle.
 func (h *Holder) include(w *Write, entry string) {
 	if _, ok := w.vers[entry]; ok {
@@ -204,7 +239,7 @@
 	if ref, ok := strings.CutPrefix(entry, hostEntry); ok {
 		m := h.Hosts[ref]
 		others := h.copies[entry]
-		if h.slots[w.Slot].has[entry] {
+		if _, ok := h.slots[w.Slot].has[entry]; ok {
 			others--
 		}
 		if m == nil && others == 0 {
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -218,7 +218,8 @@
 	NotBefore  Micros
 	ErrorHosts map[string]bool
 	SeenAt     Micros
-	Begun      bool // a task of it has run
+	Begun      bool   // a task of it has run
+	IdleAt     Micros // since when nothing of it is bound
 	// What a placement round thinks of it.
 	Within  bool // within its team's guarantee
 	Starved bool // it has waited too long to begin
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -36,6 +36,12 @@
 	// for it.
 	Patience func(j *model.JobState) model.Micros
 
+	// ByGuarantee has jobs within their team's guarantee go first one by one.
+	ByGuarantee bool
+	// Rate is how many tasks of a class come to begin in a second, thought from
+	// those that run.
+	Rate func(class string) float64
+
 	// Displace has the round look for work to be stopped, too, which costs more
 	// than placing. Keeps is what such a round kept for jobs that still wait; the
 	// rounds until the next one hold on to it.
@@ -98,8 +104,8 @@
 func (w *World) Sort() {
 	slices.SortFunc(w.Jobs, func(a, b *model.JobState) int { return cmp.Compare(a.Order, b.Order) })
 	w.guaranteed()
+	w.starving()
 	for _, j := range w.Jobs {
-		j.Starved = w.starved(j)
 		if w.Due != nil {
 			j.DueAt = w.Due(j)
 		}
@@ -121,27 +127,75 @@
 // Late is where the DueAt of jobs begins that can't be in time any more.
 const Late = model.Micros(1) << 60
 
-// starveAfter is how long a job may wait for its first task before that goes
-// before all others: well within the four minutes in which even the largest are
-// to begin.
-const starveAfter = 150 * model.Second
+// Even the largest jobs are to begin within four minutes. What has not begun in
+// beginBy goes before all others, and so does what would not have, by the rate at
+// which tasks of its class come to begin, if it waited any longer for those ahead
+// of it. Whatever the rate, nothing does in its first starveLeast.
+const (
+	beginBy     = 180 * model.Second
+	starveLeast = 60 * model.Second
+	// sparedAfter is how long a job has to have waited for its first task so that
+	// this is not stopped for others.
+	sparedAfter = 150 * model.Second
+)
 
-// starved tells that nothing of a job has begun for so long that it has to go
-// first, whatever its rank: a gang as a whole, another job with a single task.
-// Without this, jobs that can't be in time any more, and gangs for which small
-// ones leave no room, would wait for ever; with more of it, all jobs of a busy
-// class would get late by turns.
-func (w *World) starved(j *model.JobState) bool {
-	return w.unbegun(j) && len(j.Bound) == 0
+// starving finds the jobs of which nothing has begun, or been on a machine since,
+// for so long that they have to go first, whatever their rank: a gang as a whole, another job with a single
+// task. Without this, jobs that can't be in time any more, and gangs for which
+// small ones leave no room, would wait for ever; with more of it, all jobs of a
+// busy class would get late by turns. The jobs must be in order of age.
+func (w *World) starving() {
+	ahead := map[string]float64{}      // tasks that have to begin first
+	until := map[string]model.Micros{} // jobs of the class seen until then are starved
+	for _, j := range w.Jobs {
+		j.Starved = false
+		if len(j.Bound) > 0 || len(j.Waiting) == 0 || j.Ended != "" {
+			continue
+		}
+		if j.Shape == model.Gang {
+			ahead[j.Class] += 2 * float64(j.Pieces) // its tasks have to come free together
+		} else {
+			ahead[j.Class]++
+		}
+		age := w.Now - idle(j)
+		rate := 0.0
+		if w.Rate != nil {
+			rate = w.Rate(j.Class)
+		}
+		if age > beginBy || age > starveLeast && age.Seconds()+ahead[j.Class]/max(rate, 0.001) > beginBy.Seconds() {
+			until[j.Class] = max(until[j.Class], idle(j))
+		}
+	}
+	for _, j := range w.Jobs {
+		at, ok := until[j.Class]
+		j.Starved = ok && idle(j) <= at && w.Now-idle(j) > starveLeast && len(j.Bound) == 0 && j.Ended == ""
+	}
 }
 
-func (w *World) unbegun(j *model.JobState) bool {
-	return !j.Begun && w.Now-j.SeenAt > starveAfter
+// idle is since when a job waits with nothing of it on a machine: from the start
+// if nothing has begun.
+func idle(j *model.JobState) model.Micros {
+	if unbegun(j) {
+		return j.SeenAt
+	}
+	return j.IdleAt
 }
 
+// unbegun tells that no task of a job has run yet, under any holder.
+func unbegun(j *model.JobState) bool { return !j.Begun && j.Done.Len() == 0 }
+
 // guaranteed finds the jobs that fit into their team's guarantee together with
-// the team's earlier unfinished jobs. The jobs must be in order of age.
+// the team's earlier unfinished jobs. The jobs must be in order of age. Where no
+// aim counts them one by one, all jobs of a team are alike: those of one that uses
+// less than its guarantee.
 func (w *World) guaranteed() {
+	if !w.ByGuarantee {
+		for _, j := range w.Jobs {
+			t := w.Teams[j.Owner]
+			j.Within = t != nil && t.WithinGuarantee(w.Used[j.Owner])
+		}
+		return
+	}
 	sum := make(map[string]model.Need, len(w.Teams))
 	for _, j := range w.Jobs {
 		t := w.Teams[j.Owner]
@@ -396,7 +450,7 @@
 		clear(w.Keeps)
 		w.spared = map[string]bool{}
 		for _, j := range w.Jobs {
-			if w.unbegun(j) {
+			if unbegun(j) && w.Now-j.SeenAt > sparedAfter {
 				w.spared[j.Ref] = true
 			}
 		}
--- a/internal/core/slack/bench_test.go
+++ b/internal/core/slack/bench_test.go
@@ -11,7 +11,7 @@
 // tasks of many sizes, and no capacity left to be rented.
 func BenchmarkRound(b *testing.B) {
 	in := &Input{Flavors: flavors, CloudOK: true}
-	for i := range 600 {
+	for i := range 1900 {
 		build, used := "box", model.Need{Cores: 9_000, Mem: 30_000}
 		if i%2 == 0 {
 			build, used = "gpu", model.Need{Cores: 18_000, GPUs: 4000, Mem: 70_000}
@@ -21,7 +21,7 @@
 		}
 		in.Hosts = append(in.Hosts, host(fmt.Sprintf("host-%06d", i), build, used))
 	}
-	for i := range 250 {
+	for i := range 500 {
 		d := demand(40, model.Need{Cores: 4000 + model.Milli(i), GPUs: 1000, Mem: 12_000}, true)
 		in.Waiting = append(in.Waiting, d)
 		in.Sizes = append(in.Sizes, d.Job.Need)
