Work without GPUs below urgent stops no GPU task; a fetch counts as lost work

Tasks that wait for their image counted as no loss, so they were always the first to be stopped, for save-merge, which has no use for their GPUs.

--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -54,7 +54,9 @@
 			for len(victims) > 0 && !j.Need.Fits(free) {
 				v := victims[0]
 				victims = victims[1:]
-				if v.Job.Rank >= j.Rank || v.Stop {
+				if v.Job.Rank >= j.Rank || v.Stop || j.Need.GPUs == 0 && v.Job.Need.GPUs > 0 && j.Rank < model.Urgent {
+					// A task's GPUs are worth more than what one without any would do in
+					// its place; only what is urgent is worth that.
 					continue
 				}
 				free = free.Plus(v.Job.Need)
@@ -318,10 +320,12 @@
 	})
 }
 
-// loss is the work that is lost when a task is stopped.
+// loss is the work that is lost when a task is stopped: of one that waits for its
+// image, the fetch, which is given up. Were that nothing, tasks with long fetches
+// would be stopped again and again and never run.
 func (w *World) loss(b *model.Bound) model.Micros {
 	if b.RunAt == 0 {
-		return 0
+		return min(w.Now-b.At, b.Fetch) * value(b.Job.Need)
 	}
 	ran := w.Now - b.RunAt
 	if b.Job.Keepsake > 0 {
