--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -684,7 +684,7 @@
 
 // World is what a placement round looks at.
 func (h *Holder) World(now model.Micros) *place.World {
-	w := &place.World{Now: now, ByGuarantee: h.P.Guarantee, Silent: 3 * h.P.Report, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
+	w := &place.World{Now: now, ByGuarantee: h.P.Guarantee, Silent: 3 * h.P.Report, StopTime: h.P.Report * 6 / 5, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
 		Hosts: make([]*model.Host, 0, len(h.Hosts)), Jobs: make([]*model.JobState, 0, len(h.Jobs))}
 	for _, m := range h.Hosts {
 		w.Hosts = append(w.Hosts, m)
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -32,6 +32,8 @@
 	Due func(j *model.JobState) model.Micros
 	// Stop asks for a bound piece to be stopped, to make room.
 	Stop func(b *model.Bound, why string)
+	// StopTime is about how long it takes until a stopped task's room is free.
+	StopTime model.Micros
 	// Patience is how long a job may wait before work of lower rank is stopped
 	// for it.
 	Patience func(j *model.JobState) model.Micros
@@ -330,13 +332,13 @@
 // late tells that a job has waited as long as it may before others suffer for
 // it.
 func (w *World) late(j *model.JobState) bool {
-	return w.Patience != nil && w.Now-j.SeenAt+stopTime >= w.Patience(j)
+	return w.Patience != nil && w.Now-j.SeenAt+w.StopTime >= w.Patience(j)
 }
 
 // pressed tells that a job is urgent and late, and its class is to start within
 // a few reports.
 func (w *World) pressed(j *model.JobState) bool {
-	return j.Rank >= model.Urgent && w.late(j) && w.Patience(j) < 2*stopTime
+	return j.Rank >= model.Urgent && w.late(j) && w.Patience(j) < 2*w.StopTime
 }
 
 // patient tells that a gang can still wait for machines that suit it better.
@@ -655,7 +657,7 @@
 		return false
 	}
 	for _, h := range hosts {
-		if w.fetch(j, h) > max(aim-age, stopTime) {
+		if w.fetch(j, h) > max(aim-age, w.StopTime) {
 			return true
 		}
 	}
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -8,10 +8,6 @@
 	"woadweir/internal/core/model"
 )
 
-// stopTime is about how long it takes until a stopped task's room is free: two
-// reports.
-const stopTime = 3 * model.Second
-
 // preempt makes room for a job of higher rank that found none: it stops tasks
 // of lower rank where that loses least, and keeps the room that comes free for
 // this job. Room that earlier stops are about to free counts first. Only machines
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -382,13 +382,12 @@
 	c.io.ping()
 }
 
-// seenFresh is how long a worker's report counts as lately.
-const seenFresh = 5 * model.Second
-
-// workersSeen is the number of workers that reported here lately.
+// workersSeen is the number of workers that reported here in the last two
+// reports' time.
 func (c *controller) workersSeen() int {
+	fresh := 2 * model.Seconds(c.set.Params.Workers.ReportS)
 	for ref, at := range c.seen {
-		if c.now-at > seenFresh {
+		if c.now-at > fresh {
 			delete(c.seen, ref)
 		}
 	}
