--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -202,9 +202,15 @@
 	return m
 }
 
-// Guarantee tells that work within a team's guarantee has an aim of its own.
-func (s *Settings) Guarantee() bool {
-	return slices.ContainsFunc(s.Params.Objectives, func(o Objective) bool { return o.Kind == "guarantee" })
+// Guarantee is the time within which work within a team's guarantee is to start, 0
+// if no aim says so.
+func (s *Settings) Guarantee() model.Micros {
+	for _, o := range s.Params.Objectives {
+		if o.Kind == "guarantee" && o.WithinS > 0 {
+			return model.Seconds(o.WithinS)
+		}
+	}
+	return 0
 }
 
 // Operator is the operators' own file.
--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -22,9 +22,9 @@
 	MaxValue int                       // bytes of a bundle
 	Waits    map[string][]model.Micros // by class: the times within which its tasks are to start, ascending
 	Finish   map[string][]model.Micros // by class: the times within which its jobs are to be done, ascending
-	// Guarantee tells that work within a team's guarantee is to go before what is
-	// beyond it, job by job.
-	Guarantee bool
+	// Guarantee is the time within which jobs within their team's guarantee are to
+	// start, 0 if they are not counted one by one.
+	Guarantee model.Micros
 	Margin    model.Micros // added where the end of another's lease is waited for
 }
 
@@ -684,7 +684,7 @@
 
 // World is what a placement round looks at.
 func (h *Holder) World(now model.Micros) *place.World {
-	w := &place.World{Now: now, ByGuarantee: h.P.Guarantee, Silent: 3 * h.P.Report, StopTime: h.P.Report * 6 / 5, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
+	w := &place.World{Now: now, Guarantee: h.P.Guarantee, Silent: 3 * h.P.Report, StopTime: h.P.Report * 6 / 5, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
 		Hosts: make([]*model.Host, 0, len(h.Hosts)), Jobs: make([]*model.JobState, 0, len(h.Jobs))}
 	for _, m := range h.Hosts {
 		w.Hosts = append(w.Hosts, m)
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -38,8 +38,9 @@
 	// for it.
 	Patience func(j *model.JobState) model.Micros
 
-	// ByGuarantee has jobs within their team's guarantee go first one by one.
-	ByGuarantee bool
+	// Guarantee is the time within which jobs within their team's guarantee are to
+	// start, 0 if they are not counted one by one.
+	Guarantee model.Micros
 	// Rate is how many tasks of a class come to begin in a second, thought from
 	// those that run.
 	Rate func(class string) float64
@@ -191,7 +192,7 @@
 // aim counts them one by one, all jobs of a team are alike: those of one that uses
 // less than its guarantee.
 func (w *World) guaranteed() {
-	if !w.ByGuarantee {
+	if w.Guarantee == 0 {
 		for _, j := range w.Jobs {
 			t := w.Teams[j.Owner]
 			j.Within = t != nil && t.WithinGuarantee(w.Used[j.Owner])
@@ -330,9 +331,16 @@
 }
 
 // late tells that a job has waited as long as it may before others suffer for
-// it.
+// it. What is within its team's guarantee has an aim of its own.
 func (w *World) late(j *model.JobState) bool {
-	return w.Patience != nil && w.Now-j.SeenAt+w.StopTime >= w.Patience(j)
+	if w.Patience == nil {
+		return false
+	}
+	p := w.Patience(j)
+	if w.Guarantee > 0 && j.Within {
+		p = min(p, w.Guarantee/4)
+	}
+	return w.Now-j.SeenAt+w.StopTime >= p
 }
 
 // pressed tells that a job is urgent and late, and its class is to start within
