Gangs that others were stopped for go first; one that lost its machines, too

A gang's room, once stopped for, went to gangs earlier in the order; it had more stopped elsewhere; and what they left was filled and stopped again. A gang that had begun and lost its machines had gone to the end of the order.

--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -96,6 +96,10 @@
 // is to start goes before all these, as long as what waits can all be had in that
 // time: if it can't, this would only make everything late.
 func (h *Holder) due(j *model.JobState, now model.Micros) model.Micros {
+	if j.Shape == model.Gang && j.Begun {
+		// It had its turn, and lost its machines: it need not queue again.
+		return j.SeenAt - place.Late
+	}
 	run := h.Expected(j.Job)
 	left := run * model.Micros(len(j.Waiting))
 	age, end := now-j.SeenAt, now-j.SeenAt+run*9/10
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -223,6 +223,7 @@
 	// What a placement round thinks of it.
 	Within  bool // within its team's guarantee
 	Starved bool // it has waited too long to begin
+	Paid    bool // others have been stopped to make room for it
 	DueAt   Micros
 }
 
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -102,7 +102,9 @@
 }
 
 // Sort puts jobs into the order in which they are served: those that have waited
-// too long to begin, then rank, then what can still be in time, then what is
+// too long to begin, then rank, then those for which others have been stopped
+// already (others would take that room for nothing, and what these leave would be
+// filled and stopped again), then what can still be in time, then what is
 // within its team's guarantee, then by DueAt.
 func (w *World) Sort() {
 	slices.SortFunc(w.Jobs, func(a, b *model.JobState) int { return cmp.Compare(a.Order, b.Order) })
@@ -112,6 +114,7 @@
 		if w.Due != nil {
 			j.DueAt = w.Due(j)
 		}
+		j.Paid = slices.ContainsFunc(w.Keeps[j], func(k Keep) bool { return k.Paid })
 	}
 	first := func(a, b bool) int {
 		switch {
@@ -123,7 +126,7 @@
 		return 1
 	}
 	slices.SortStableFunc(w.Jobs, func(a, b *model.JobState) int {
-		return cmp.Or(first(a.Starved, b.Starved), cmp.Compare(b.Rank, a.Rank), first(a.DueAt < Late, b.DueAt < Late), first(a.Within, b.Within), cmp.Compare(a.DueAt, b.DueAt))
+		return cmp.Or(first(a.Starved, b.Starved), cmp.Compare(b.Rank, a.Rank), first(a.Paid, b.Paid), first(a.DueAt < Late, b.DueAt < Late), first(a.Within, b.Within), cmp.Compare(a.DueAt, b.DueAt))
 	})
 }
 
@@ -457,18 +460,7 @@
 				}
 			}
 		}
-		// Room that others were stopped for stays with the job it was made for until
-		// that is served: else those served earlier would take it for nothing, it
-		// would have more stopped elsewhere, and what they leave would be filled, and
-		// stopped again.
-		for j, ks := range w.Keeps {
-			ks = slices.DeleteFunc(ks, func(k Keep) bool { return !k.Paid })
-			if len(ks) == 0 || len(j.Waiting) == 0 || j.Ended != "" {
-				delete(w.Keeps, j)
-			} else {
-				w.Keeps[j] = ks
-			}
-		}
+		clear(w.Keeps)
 		w.spared = map[string]bool{}
 		for _, j := range w.Jobs {
 			if unbegun(j) && w.Now-j.SeenAt > sparedAfter {
@@ -512,21 +504,16 @@
 
 // serve places what it can of one job.
 func (w *World) serve(j *model.JobState) {
-	if ks := w.Keeps[j]; len(ks) > 0 {
-		// What was kept for it is its own; what it does not take stays kept. A round
-		// that displaces chooses anew.
+	if len(w.Keeps[j]) > 0 {
+		// What was kept for it is its own; what it does not take stays kept.
 		w.applyKeeps(-1, j)
 		w.hopeless = map[ask][]model.Need{}
-		if w.Displace {
-			delete(w.Keeps, j)
-		} else {
-			defer func() {
-				if len(j.Waiting) == 0 {
-					delete(w.Keeps, j)
-				}
-				w.applyKeeps(1, j)
-			}()
-		}
+		defer func() {
+			if len(j.Waiting) == 0 {
+				delete(w.Keeps, j)
+			}
+			w.applyKeeps(1, j)
+		}()
 	}
 	kept := false
 	if j.Shape == model.Gang {
