Settings that leave no session or lease are refused; a test of a large fleet

TestManyMachinesFailTogether: more than 800 machines of which 80 to 250 at a time stop, hang or are cut off during takeovers, restarts and an outage, with late copies.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -14,6 +14,7 @@
 
 	"github.com/pelletier/go-toml/v2"
 
+	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
 )
 
@@ -168,7 +169,16 @@
 		bounds = append(bounds, bound{at("cpus"), t.CPUs, 0, 1e9, true}, bound{at("cpus_max"), t.CPUsMax, 0, 1e9, true},
 			bound{at("gpus"), t.GPUs, 0, 1e9, true}, bound{at("gpus_max"), t.GPUsMax, 0, 1e9, true})
 	}
-	return checkBounds(bounds)
+	if err := checkBounds(bounds); err != nil {
+		return err
+	}
+	// With these nothing safe could be done. All else starts, however unusual.
+	if w := &p.Workers; w.ReportS*5/4 >= w.LeaseS {
+		return fmt.Errorf("params.workers.report_s: %v leaves no lease of %v s", w.ReportS, w.LeaseS)
+	} else if !lead.Possible(model.Seconds(w.LeaseS), model.Seconds(w.CancelS)) {
+		return fmt.Errorf("params.workers.cancel_s: %v leaves no session beside a lease of %v s", w.CancelS, w.LeaseS)
+	}
+	return nil
 }
 
 // Teams converts the teams.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -88,6 +88,8 @@
 		`cpus_max = 136.0`:           {`cpus_max = -1.0`, "params.teams[0].cpus_max"},
 		`node_name = "n1"`:           {``, "siblings[0].node_name"},
 		`report_s = 2.5`:             {`report_s = "often"`, "report_s"},
+		`cancel_s = 38.0`:            {`cancel_s = 21.0`, "params.workers.cancel_s"},
+		`gang_wait_s = 30.0`:         {`gang_wait_s = -1.0`, "params.workers.gang_wait_s"},
 	} {
 		_, err := Parse([]byte(strings.Replace(good, old, c[0], 1)))
 		if err == nil || !strings.Contains(err.Error(), c[1]) {
@@ -96,6 +98,21 @@
 	}
 }
 
+// Settings that are unusual, but with which something safe can be done, start.
+func TestUnusualSettingsStart(t *testing.T) {
+	for old, odd := range map[string]string{
+		`report_s = 2.5`:  `report_s = 14.0`,
+		`cancel_s = 38.0`: `cancel_s = 23.0`,
+	} {
+		if _, err := Parse([]byte(strings.Replace(good, old, odd, 1))); err != nil {
+			t.Errorf("%s: %v", odd, err)
+		}
+	}
+	if _, err := Parse([]byte(strings.Replace(good, `report_s = 2.5`, `report_s = 15.0`, 1))); err == nil {
+		t.Error("workers that report less often than their lease lasts")
+	}
+}
+
 func TestOperatorFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "operator.xml")
 	write := func(body string) {
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -16,16 +16,31 @@
 	Margin model.Micros
 }
 
+// margin covers what clocks and answers may be late by, and least is the shortest
+// session that can be kept.
+const (
+	margin = model.Second / 2
+	least  = 2 * model.Second
+)
+
 // Settle computes the session's length: authority, the worker's lease after it
 // and a margin have to end before cancel, and a dead holder's workers are to be
 // taken over before their lease is over, while the lease outlives an outage of
 // the state service. The operators' block lease is the upper bound.
 func Settle(blockLease, lease, report, cancel model.Micros) Spans {
-	margin := model.Second / 2
-	ttl := min(blockLease, lease-3*report, cancel-lease-lease/driftDivisor-4*margin-2*report)
-	return Spans{TTL: max(ttl, 2*model.Second), Margin: margin}
+	ttl := min(blockLease, lease-3*report, safest(lease, cancel)-2*report)
+	return Spans{TTL: max(ttl, least), Margin: margin}
 }
 
+// safest is the longest session after which a worker's lease still ends before
+// cancel.
+func safest(lease, cancel model.Micros) model.Micros {
+	return cancel - lease - lease/driftDivisor - 4*margin
+}
+
+// Possible tells whether there can be a session that is safe.
+func Possible(lease, cancel model.Micros) bool { return safest(lease, cancel) >= least }
+
 // Until is how long authority runs that rests on a request sent at that time.
 func (s Spans) Until(sent model.Micros) model.Micros {
 	return sent + s.TTL - s.TTL/driftDivisor - s.Margin
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,113 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"woadweir/internal/config"
+	"woadweir/internal/core/model"
+)
+
+// fleetSettings are those of a far larger deployment, with reports half as often.
+func fleetSettings(name string) *config.Settings {
+	s := simSettings(name)
+	s.Params.Teams = []config.Team{{Name: "red", CPUs: 8000, CPUsMax: 14_000, GPUs: 500, GPUsMax: 2000}, {Name: "blue", CPUs: 5000, CPUsMax: 9000}}
+	w := &s.Params.Workers
+	w.ReportS, w.LeaseS, w.GangWaitS, w.GangPeerS, w.CancelS = 5, 26.5, 30, 5, 46.5
+	s.Params.State.RPS, s.Params.State.WriteRPS = 300, 90
+	s.Params.Cloud.RPS, s.Params.Cloud.ListLagS = 12, 5
+	return s
+}
+
+// Many machines of a large fleet fail together while controllers do: 80 stop, 100
+// hang, 250 are cut off for longer than a lease and heard again with all they said
+// meanwhile, during a takeover, the end of all controllers with restarts in the
+// middle of the elections, and an outage of the state service; copies of reports
+// come late all the time. No rule is broken, nobody who was accepted is forgotten,
+// and once all is over everything ends.
+func TestManyMachinesFailTogether(t *testing.T) {
+	capacity := map[string]int{}
+	for _, y := range []string{"a", "b"} {
+		for _, spot := range []bool{true, false} {
+			capacity[fmt.Sprintf("small/%s/%v", y, spot)] = 350
+			capacity[fmt.Sprintf("gpu/%s/%v", y, spot)] = 125
+		}
+	}
+	w := newDeployment(t, 41, fleetSettings, capacity)
+	w.copies = 0.03
+	var us []*user
+	for i := range 220 {
+		w.At(model.Micros(i)*200*model.Millisecond, func() {
+			s := sweepJob(i, 40, 25)
+			if i%4 == 0 {
+				s = gangJob(i, 4, 25)
+				s.SamePlace = i%8 == 0
+			}
+			cancel := model.Micros(0)
+			if i%9 == 0 {
+				cancel = 30 * model.Second
+			}
+			us = append(us, w.submit(s, cancel))
+		})
+	}
+	w.Run(40 * model.Second)
+	ws := w.cloud.Workers()
+	if len(ws) < 800 {
+		t.Fatalf("only %d machines are up", len(ws))
+	}
+	for i, x := range ws {
+		switch {
+		case i%20 == 0:
+			x.Die()
+		case i%16 == 1:
+			x.Hang(true)
+			w.After(w.Between(20*model.Second, 40*model.Second), func() { x.Hang(false) })
+		case i%6 == 2:
+			w.cut[x.Ref] = true
+		}
+	}
+	w.After(50*model.Second, func() {
+		clear(w.cut)
+		for _, f := range w.late {
+			f()
+		}
+		w.late = nil
+	})
+	w.After(3*model.Second, func() {
+		l := w.leader()
+		l.crash()
+		w.After(4*model.Second, l.start)
+	})
+	w.After(15*model.Second, func() { fault(w, 12, 0) })
+	w.After(24*model.Second, func() {
+		w.state.SetOutage(true)
+		w.After(12*model.Second, func() { w.state.SetOutage(false) })
+	})
+	w.After(35*model.Second, func() { fault(w, 1, 0) })
+	w.Run(110 * model.Second)
+	w.copies = 0
+	ended := func() bool {
+		for _, u := range us {
+			if u.accepted && u.ended == "" {
+				return false
+			}
+		}
+		return true
+	}
+	for w.Now < 300*model.Second && !ended() {
+		w.Run(w.Now + model.Second)
+	}
+	w.check()
+	accepted := 0
+	for _, u := range us {
+		if u.accepted {
+			accepted++
+		}
+		if u.accepted && u.ended == "" {
+			t.Errorf("%s never ended", u.sub.Ref)
+		}
+	}
+	if accepted < len(us)*9/10 || w.rules.Starts < 6000 {
+		t.Errorf("%d of %d accepted, %d starts", accepted, len(us), w.rules.Starts)
+	}
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -71,6 +71,8 @@
 	rules *standin.Rules
 	nodes []*simNode
 
+	cut     map[string]bool // machines whose reports wait until the cut ends
+	late    []func()        // these reports
 	deaf    map[string]bool // machines whose reports arrive, but which hear nothing
 	copies  float64         // chance that a report arrives once more, up to copyLate later
 	repeats float64         // chance that a request to the state service is carried out once more
@@ -96,23 +98,30 @@
 	return s
 }
 
+// newWorld is a small deployment: its fleet is soon full.
 func newWorld(t *testing.T, seed uint64) *world {
-	w := &world{Sim: standin.NewSim(seed), t: t, deaf: map[string]bool{}}
+	capacity := map[string]int{}
+	for _, y := range []string{"a", "b"} {
+		for _, spot := range []bool{true, false} {
+			capacity[fmt.Sprintf("small/%s/%v", y, spot)] = 4
+			capacity[fmt.Sprintf("gpu/%s/%v", y, spot)] = 2
+		}
+	}
+	return newDeployment(t, seed, simSettings, capacity)
+}
+
+func newDeployment(t *testing.T, seed uint64, settings func(name string) *config.Settings, capacity map[string]int) *world {
+	w := &world{Sim: standin.NewSim(seed), t: t, deaf: map[string]bool{}, cut: map[string]bool{}}
 	w.state = standin.NewState(w.Sim)
-	set := simSettings("")
+	set := settings("")
 	w.rules = standin.NewRules(w.Sim, set.Teams(), model.Seconds(set.Params.Workers.CancelS))
 	ps := set.Params.Workers
 	w.cloud = standin.NewCloud(w.Sim, w, w.rules, simFlavors, standin.Times{Report: model.Seconds(ps.ReportS), Lease: model.Seconds(ps.LeaseS),
 		GangWait: model.Seconds(ps.GangWaitS), GangPeer: model.Seconds(ps.GangPeerS)})
-	for _, y := range []string{"a", "b"} {
-		for _, spot := range []bool{true, false} {
-			w.cloud.Capacity[fmt.Sprintf("small/%s/%v", y, spot)] = 4
-			w.cloud.Capacity[fmt.Sprintf("gpu/%s/%v", y, spot)] = 2
-		}
-	}
+	w.cloud.Capacity = capacity
 	for i := range 3 {
 		n := &simNode{w: w, name: fmt.Sprintf("node-%d", i), workers: true}
-		n.set = simSettings(n.name)
+		n.set = settings(n.name)
 		w.nodes = append(w.nodes, n)
 		n.start()
 	}
@@ -133,6 +142,10 @@
 	if w.deaf[x.Ref] {
 		answer = func(int, []byte) {}
 	}
+	if w.cut[x.Ref] {
+		w.late = append(w.late, func() { w.deliverReport(n, body, w.Between(200, 2*model.Second), func(int, []byte) {}) })
+		return
+	}
 	w.deliverReport(n, body, w.Between(200, 2000), answer)
 	if w.copies > 0 && w.Chance(w.copies) {
 		to := w.nodes[w.Rng.IntN(len(w.nodes))]
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 
 	"woadweir/internal/cloud"
@@ -100,8 +99,12 @@
 	if c.Down {
 		return cloud.ErrTrouble
 	}
+	named := make(map[string]bool, len(refs))
+	for _, ref := range refs {
+		named[ref] = true
+	}
 	for _, m := range c.machines {
-		if slices.Contains(refs, m.w.Ref) && !m.gone {
+		if named[m.w.Ref] && !m.gone {
 			m.w.Die()
 			m.gone, m.goneAt = true, c.sim.Now
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -82,7 +82,7 @@
 	if w.sim.Now-w.leased > w.t.Lease {
 		w.Restart()
 	}
-	w.sim.After(100*model.Millisecond, w.watchLease)
+	w.sim.At(w.leased+w.t.Lease+1, w.watchLease)
 }
 
 // plan has the next report go out at that delay, unless one is due earlier.
