Fresh work within a guarantee goes first; last finish aim and deadline's times count

Jobs that have missed the aim of their guarantee already were served before fresh ones; texture-bake has aims at 1 and 1.75 times its deadline, and what missed the first went last; what is about to miss its last finish aim goes first, as for starts.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -40,6 +40,7 @@
 	Class   string  `toml:"class"`
 	WithinS float64 `toml:"within_s"`
 	Share   float64 `toml:"share"`
+	Times   float64 `toml:"times"` // of its deadline
 }
 
 // Settings is the platform's file. Fields it does not name are ignored.
@@ -212,6 +213,21 @@
 	return m
 }
 
+// Deadlines gives, by class, the multiples of their deadline by which its jobs
+// are to be done, ascending.
+func (s *Settings) Deadlines() map[string][]float64 {
+	m := map[string][]float64{}
+	for _, o := range s.Params.Objectives {
+		if o.Kind == "deadline" && o.Class != "" && o.Times > 0 {
+			m[o.Class] = append(m[o.Class], o.Times)
+		}
+	}
+	for _, l := range m {
+		slices.Sort(l)
+	}
+	return m
+}
+
 // Guarantee is the time within which work within a team's guarantee is to start, 0
 // if no aim says so.
 func (s *Settings) Guarantee() model.Micros {
--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -22,6 +22,9 @@
 	MaxValue int                       // bytes of a bundle
 	Waits    map[string][]model.Micros // by class: the times within which its tasks are to start, ascending
 	Finish   map[string][]model.Micros // by class: the times within which its jobs are to be done, ascending
+	// Deadlines are, by class, the multiples of their deadline by which its jobs are
+	// to be done, ascending.
+	Deadlines map[string][]float64
 	// Guarantee is the time within which jobs within their team's guarantee are to
 	// start, 0 if they are not counted one by one.
 	Guarantee model.Micros
--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -93,8 +93,8 @@
 // that with least left to do goes first, so that most jobs are in time when not
 // all can be; then what has missed one and can meet another, and at last, by age,
 // what can't be in time any more. What is about to miss the last time in which it
-// is to start goes before all these, as long as what waits can all be had in that
-// time: if it can't, this would only make everything late.
+// is to start, or to be done, goes before all these, as long as what waits can all
+// be had in time: if it can't, this would only make everything late.
 func (h *Holder) due(j *model.JobState, now model.Micros) model.Micros {
 	if j.Shape == model.Gang && j.Begun {
 		// It had its turn, and lost its machines: it need not queue again.
@@ -123,14 +123,24 @@
 	}
 	if j.Due > 0 {
 		aim(end <= j.Due)
+		for _, times := range h.P.Deadlines[j.Class] {
+			aim(end <= model.Micros(float64(j.Due)*times))
+		}
+	}
+	finish := h.P.Finish[j.Class]
+	if n := len(finish); n > 0 && len(waits) > 0 {
+		last := finish[n-1]
+		if end >= last*3/4 && end <= last && h.loads[j.Class].drain() < last/4 {
+			return j.SeenAt - place.Late
+		}
 	}
-	for _, f := range h.P.Finish[j.Class] {
+	for _, f := range finish {
 		aim(end <= f)
 	}
 	switch {
 	case met == 0:
 		return place.Late + j.SeenAt
-	case lost == 0 || len(waits) == 0:
+	case lost == 0 || len(waits) == 0 && j.Due == 0:
 		return left
 	}
 	return missed + left
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -222,6 +222,7 @@
 	IdleAt     Micros // since when nothing of it is bound
 	// What a placement round thinks of it.
 	Within  bool // within its team's guarantee
+	Soon    bool // and can still start in the time that such work is to start in
 	Starved bool // it has waited too long to begin
 	Paid    bool // others have been stopped to make room for it
 	DueAt   Micros
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -126,7 +126,7 @@
 		return 1
 	}
 	slices.SortStableFunc(w.Jobs, func(a, b *model.JobState) int {
-		return cmp.Or(first(a.Starved, b.Starved), cmp.Compare(b.Rank, a.Rank), first(a.Paid, b.Paid), first(a.DueAt < Late, b.DueAt < Late), first(a.Within, b.Within), cmp.Compare(a.DueAt, b.DueAt))
+		return cmp.Or(first(a.Starved, b.Starved), cmp.Compare(b.Rank, a.Rank), first(a.Paid, b.Paid), first(a.DueAt < Late, b.DueAt < Late), first(a.Soon, b.Soon), first(a.Within, b.Within), cmp.Compare(a.DueAt, b.DueAt))
 	})
 }
 
@@ -198,7 +198,7 @@
 	if w.Guarantee == 0 {
 		for _, j := range w.Jobs {
 			t := w.Teams[j.Owner]
-			j.Within = t != nil && t.WithinGuarantee(w.Used[j.Owner])
+			j.Within, j.Soon = t != nil && t.WithinGuarantee(w.Used[j.Owner]), false
 		}
 		return
 	}
@@ -206,12 +206,13 @@
 	for _, j := range w.Jobs {
 		t := w.Teams[j.Owner]
 		if t == nil {
-			j.Within = false
+			j.Within, j.Soon = false, false
 			continue
 		}
 		use := sum[j.Owner].Plus(j.Need.Times(j.Pieces))
 		sum[j.Owner] = use
 		j.Within = t.WithinGuarantee(use)
+		j.Soon = j.Within && w.Now-j.SeenAt < w.Guarantee
 	}
 }
 
@@ -340,7 +341,7 @@
 		return false
 	}
 	p := w.Patience(j)
-	if w.Guarantee > 0 && j.Within {
+	if j.Soon {
 		p = min(p, w.Guarantee/4)
 	}
 	return w.Now-j.SeenAt+w.StopTime >= p
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -93,7 +93,7 @@
 	w := c.set.Params.Workers
 	l.h = block.New(block.Params{Teams: c.teams, Report: model.Seconds(w.ReportS), Lease: model.Seconds(w.LeaseS),
 		GangWait: model.Seconds(w.GangWaitS), Margin: model.Second, MaxBound: int(c.set.Params.State.ValueKB * 1000 / bytesPerPiece), MaxValue: int(c.set.Params.State.ValueKB * 900),
-		Waits: c.set.Waits(), Finish: c.set.Finish(), Guarantee: c.set.Guarantee()}, l.token)
+		Waits: c.set.Waits(), Finish: c.set.Finish(), Deadlines: c.set.Deadlines(), Guarantee: c.set.Guarantee()}, l.token)
 	l.h.Log = logEvent
 	l.h.SetFlavors(c.view.Flavors)
 	for ref := range c.view.Jobs {
