--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -377,7 +377,7 @@
 // nothing reaches it ends its tasks with its lease, session after session.
 func (h *Holder) judgeHearing(m *model.Host, r *Report, now model.Micros) {
 	was := m.Hears
-	m.Hears = r.Warrant == h.Token && r.Tenure == m.Tenure && now-m.Heard <= h.P.Report*5/4+model.Second
+	m.Hears = r.Warrant == h.Token && r.Tenure == m.Tenure && now-m.Heard <= h.P.Report*3/2+model.Second
 	if m.Hears {
 		for _, b := range m.Bound {
 			if b.SentTenure == m.Tenure && b.SentTally == m.Tally && !slices.ContainsFunc(r.Pieces, func(p Piece) bool { return p.ID == b.ID && p.Try == b.Try }) {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -461,7 +461,18 @@
 				}
 			}
 		}
-		clear(w.Keeps)
+		// Room that others were stopped for stays with the job it was made for until
+		// that is served: else one served before it, short of a machine for a moment,
+		// would take that room for nothing, this job would have more stopped
+		// elsewhere, and so on down the line.
+		for j, ks := range w.Keeps {
+			ks = slices.DeleteFunc(ks, func(k Keep) bool { return !k.Paid })
+			if len(ks) == 0 || len(j.Waiting) == 0 || j.Ended != "" {
+				delete(w.Keeps, j)
+			} else {
+				w.Keeps[j] = ks
+			}
+		}
 		w.spared = map[string]bool{}
 		for _, j := range w.Jobs {
 			if unbegun(j) && w.Now-j.SeenAt > sparedAfter {
@@ -506,15 +517,20 @@
 // serve places what it can of one job.
 func (w *World) serve(j *model.JobState) {
 	if len(w.Keeps[j]) > 0 {
-		// What was kept for it is its own; what it does not take stays kept.
+		// What was kept for it is its own; what it does not take stays kept. A round
+		// that displaces chooses anew.
 		w.applyKeeps(-1, j)
 		w.hopeless = map[ask][]model.Need{}
-		defer func() {
-			if len(j.Waiting) == 0 {
-				delete(w.Keeps, j)
-			}
-			w.applyKeeps(1, j)
-		}()
+		if w.Displace {
+			delete(w.Keeps, j)
+		} else {
+			defer func() {
+				if len(j.Waiting) == 0 {
+					delete(w.Keeps, j)
+				}
+				w.applyKeeps(1, j)
+			}()
+		}
 	}
 	kept := false
 	if j.Shape == model.Gang {
