Tasks whose image is there go before others of the same standing

GPUs come free one at a time, and each went to the next task in order, whatever its image. Jobs are split by rank, by whether they can still be in time, and by whether they go first for having waited long: within such a group order matters less than images.

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -92,8 +92,12 @@
 	builds, yard     string
 	loaners, pressed bool
 	gpus, patient    bool
+	image            string // if only machines that have it will do
 }
 
+// readyIn is in how short a time an image counts as being there.
+const readyIn = 2 * model.Second
+
 // Open tells whether the host takes new work now. A machine that does not hear
 // gets none: it would wait there for ever, and a report that may be an old copy
 // says nothing of what it could do now.
@@ -255,7 +259,7 @@
 }
 
 func (w *World) ask(j *model.JobState) ask {
-	return ask{strings.Join(j.Builds, " "), j.Yard, j.Loaners, w.pressed(j), j.Need.GPUs > 0, w.patient(j)}
+	return ask{strings.Join(j.Builds, " "), j.Yard, j.Loaners, w.pressed(j), j.Need.GPUs > 0, w.patient(j), ""}
 }
 
 // spare sets the reserve: free GPUs that are wanted, on the machines that suit
@@ -377,8 +381,12 @@
 // candidates are the machines with room for a task, best first; none if there is
 // not room for that many. What found no room at all is remembered: in a round
 // room only gets less, so nothing larger has to look again.
-func (w *World) candidates(j *model.JobState, atLeast int) []candidate {
+func (w *World) candidates(j *model.JobState, atLeast int, ready bool) []candidate {
 	a := w.ask(j)
+	if ready {
+		a.image = j.Image
+	}
+	soon := max(readyIn, j.Guess/8)
 	for _, n := range w.hopeless[a] {
 		if n.Fits(j.Need) {
 			return nil
@@ -392,6 +400,9 @@
 		if !j.Need.Fits(u) || !j.Allows(r.h.Build, r.h.Yard, r.h.Spot) || w.dear(j, r.h) {
 			continue
 		}
+		if ready && w.fetch(j, r.h) > soon {
+			continue
+		}
 		rs = append(rs, r)
 		count += j.Need.Count(u, atLeast)
 	}
@@ -419,11 +430,37 @@
 func (w *World) Round() {
 	w.Sort()
 	w.prepare()
-	for _, j := range w.Jobs {
-		if j.Ended != "" || j.EndWanted || len(j.Waiting) == 0 || w.Now < j.NotBefore {
-			continue
+	for i, k := 0, 0; i < len(w.Jobs); i = k {
+		a := w.Jobs[i]
+		for k = i; k < len(w.Jobs); k++ {
+			if b := w.Jobs[k]; b.Rank != a.Rank || b.Starved != a.Starved || (b.DueAt < Late) != (a.DueAt < Late) {
+				break
+			}
+		}
+		w.together(w.Jobs[i:k])
+	}
+}
+
+// together serves jobs of the same standing. Tasks whose image is there go first:
+// when GPUs come free one at a time, each would else go to whatever is next in
+// order, and spend as long on the image as on the work.
+func (w *World) together(jobs []*model.JobState) {
+	waits := func(j *model.JobState) bool {
+		return j.Ended == "" && !j.EndWanted && len(j.Waiting) > 0 && w.Now >= j.NotBefore
+	}
+	alike := !jobs[0].Starved
+	for _, j := range jobs {
+		alike = alike && (j.Shape != model.Gang || !waits(j))
+	}
+	for _, j := range jobs {
+		if alike && waits(j) {
+			w.sweep(j, true)
+		}
+	}
+	for _, j := range jobs {
+		if waits(j) {
+			w.serve(j)
 		}
-		w.serve(j)
 	}
 }
 
@@ -546,7 +583,7 @@
 			w.owe(j)
 		}
 	} else {
-		w.sweep(j)
+		w.sweep(j, false)
 	}
 	if !w.Displace && j.Shape == model.Gang && len(j.Waiting) == j.Pieces {
 		w.withhold(j)
@@ -594,7 +631,8 @@
 	return n.Count(room, limit)
 }
 
-func (w *World) sweep(j *model.JobState) {
+// sweep places single tasks; those that are ready only where their image is.
+func (w *World) sweep(j *model.JobState, ready bool) {
 	left := w.teamRoom(j, len(j.Waiting))
 	if j.Starved {
 		left = min(left, 1)
@@ -603,7 +641,7 @@
 		return
 	}
 	a := w.ask(j)
-	for _, c := range w.candidates(j, 1) {
+	for _, c := range w.candidates(j, 1, ready) {
 		h := c.r.h
 		k := min(left, j.Need.Count(c.r.usable(a), left), YardRoom(j, h.Yard), w.slots(h))
 		for ; k > 0; k-- {
@@ -623,7 +661,7 @@
 	if len(j.Bound) > 0 || len(j.Waiting) != j.Pieces || w.teamRoom(j, j.Pieces) < j.Pieces {
 		return false
 	}
-	cs := w.candidates(j, j.Pieces)
+	cs := w.candidates(j, j.Pieces, false)
 	var best []*model.Host
 	if j.SamePlace {
 		byYard := map[string][]candidate{}
