--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"woadweir/internal/core/model"
+	"woadweir/internal/core/place"
 )
 
 const sec = model.Second
@@ -919,3 +920,122 @@
 		}
 	}
 }
+
+// Of tasks alike, those whose image is there get the room that comes free: each
+// machine would else spend as long on images as on work.
+func TestTasksWhoseImageIsThereGoFirst(t *testing.T) {
+	h := newHolder(5)
+	h.AddJob(job("j-1", 4, model.Sweep), model.Set{}, "", 0, 0)
+	w := newWorker(h, "h1", "box", "a")
+	w.starts()
+	var ps []Piece
+	for _, b := range h.Hosts["h1"].Bound {
+		ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
+	}
+	w.says(3*sec, 5, ps...)
+	other, same := job("j-2", 1, model.Sweep), job("j-3", 1, model.Sweep)
+	other.Image, other.ImageGB = "x", 20
+	same.Order = 1
+	h.AddJob(other, model.Set{}, "", 3*sec, 0)
+	js := h.AddJob(same, model.Set{}, "", 3*sec, 0)
+	ps[0].Status, ps[0].Cause = model.Ended, "done"
+	w.says(4*sec, 5, ps...)
+	if len(js.Bound) != 1 {
+		t.Fatal("the room goes to a task that has to wait for its image")
+	}
+}
+
+// Work without GPUs has no GPU task stopped unless it is urgent, and of others the
+// ones that wait for their image are not always the first: they would never run.
+func TestWhatIsWorthStopping(t *testing.T) {
+	for _, rank := range []model.Rank{model.Standard, model.Urgent} {
+		h := newHolder(5)
+		h.P.Waits = map[string][]model.Micros{"hot": {8 * sec}}
+		gpu := job("j-1", 2, model.Sweep)
+		gpu.Owner, gpu.Rank, gpu.Need.GPUs, gpu.Need.Cores = "blue", model.Idle, 1000, 4000
+		h.AddJob(gpu, model.Set{}, "", 0, 0)
+		w := newWorker(h, "h1", "gpu", "a")
+		w.starts()
+		hot := job("j-2", 1, model.Sweep)
+		hot.Rank, hot.Class = rank, "hot"
+		h.AddJob(hot, model.Set{}, "", 2*sec, 0)
+		var ps []Piece
+		for _, b := range h.Hosts["h1"].Bound {
+			ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
+		}
+		_, orders := w.says(20*sec, 5, ps...)
+		if n := verbs(orders, "stop"); n != int(rank-model.Standard) {
+			t.Errorf("rank %v: %d GPU tasks stopped for one without", rank, n)
+		}
+	}
+	w := &place.World{Now: 20 * sec}
+	fetching := &model.Bound{Job: job("j-1", 1, model.Sweep), At: 0, Fetch: 60 * sec}
+	running := &model.Bound{Job: job("j-2", 1, model.Sweep), At: 0, RunAt: 15 * sec}
+	if w.Loss(fetching) <= w.Loss(running) || w.Loss(fetching) != 4*w.Loss(running) {
+		t.Errorf("20 s of fetching weigh %v, 5 s of work %v", w.Loss(fetching), w.Loss(running))
+	}
+}
+
+// Room that others were stopped for is not taken by a gang served earlier: that
+// one has its own made, and nobody is stopped twice for the same.
+func TestRoomMadeForAGangIsItsOwn(t *testing.T) {
+	h := newHolder(5)
+	h.P.Waits = map[string][]model.Micros{"hot": {8 * sec}}
+	low := job("j-1", 8, model.Sweep)
+	low.Rank, low.Owner = model.Idle, "blue"
+	h.AddJob(low, model.Set{}, "", 0, 0)
+	var ws []*worker
+	for _, ref := range []string{"h1", "h2"} {
+		w := newWorker(h, ref, "box", "a")
+		w.starts()
+		ws = append(ws, w)
+	}
+	gang := func(ref string, now, age model.Micros) *model.JobState {
+		j := job(ref, 1, model.Gang)
+		j.Rank, j.Class, j.Owner, j.Need.Cores = model.Urgent, "hot", "blue", 4000
+		return h.AddJob(j, model.Set{}, "", now, age)
+	}
+	stops := func() (n [2]int) {
+		for i, ref := range []string{"h1", "h2"} {
+			for _, b := range h.Hosts[ref].Bound {
+				if b.Stop {
+					n[i]++
+				}
+			}
+		}
+		return n
+	}
+	for _, w := range ws {
+		var ps []Piece
+		for _, b := range h.Hosts[w.r.Host].Bound {
+			ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
+		}
+		w.says(8*sec, 5, ps...)
+	}
+	a := gang("j-2", 8*sec, 7*sec)
+	h.Place(9*sec, true)
+	first := stops()
+	if first[0]+first[1] != 4 {
+		t.Fatalf("stopped for one gang: %v", first)
+	}
+	b := gang("j-3", 9*sec, 8*sec) // older, and so served first but for what was made for the other
+	b.Order = 0
+	a.Order = 1
+	for i := range model.Micros(4) {
+		h.Place(9500*model.Millisecond+i*sec/10, true)
+	}
+	if n := stops(); n != [2]int{4, 4} {
+		t.Fatalf("stopped for two gangs: %v", n)
+	}
+	made := "h1"
+	if first[1] == 4 {
+		made = "h2"
+	}
+	for _, x := range h.Hosts[made].Bound {
+		h.unbind(x, "ended: stopped", 10*sec)
+	}
+	h.Place(10*sec, true)
+	if x := bound(h, made); x == nil || x.ID.Job != "j-2" {
+		t.Errorf("the room made for one gang went to %v", x)
+	}
+}
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -56,7 +56,7 @@
 					continue
 				}
 				free = free.Plus(v.Job.Need)
-				o.cost += w.loss(v)
+				o.cost += w.Loss(v)
 				o.victims = append(o.victims, v)
 			}
 			if !j.Need.Fits(free) {
@@ -309,17 +309,17 @@
 // byLoss sorts tasks by the work that is lost when they are stopped, least first.
 func (w *World) byLoss(bs []*model.Bound) {
 	slices.SortFunc(bs, func(a, b *model.Bound) int {
-		if c := cmp.Compare(w.loss(a), w.loss(b)); c != 0 {
+		if c := cmp.Compare(w.Loss(a), w.Loss(b)); c != 0 {
 			return c
 		}
 		return cmp.Compare(a.Try, b.Try)
 	})
 }
 
-// loss is the work that is lost when a task is stopped: of one that waits for its
+// Loss is the work that is lost when a task is stopped: of one that waits for its
 // image, the fetch, which is given up. Were that nothing, tasks with long fetches
 // would be stopped again and again and never run.
-func (w *World) loss(b *model.Bound) model.Micros {
+func (w *World) Loss(b *model.Bound) model.Micros {
 	if b.RunAt == 0 {
 		return min(w.Now-b.At, b.Fetch) * value(b.Job.Need)
 	}
