Users' changes have up to four transactions on their way

One transaction at a time meant that all who submit meanwhile wait for it. No two of them touch the same job without a guard, and they need no order. Also: all begin a little earlier (165 s instead of 180 s).

--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -142,7 +142,7 @@
 // which tasks of its class come to begin, if it waited any longer for those ahead
 // of it. Whatever the rate, nothing does in its first starveLeast.
 const (
-	beginBy     = 180 * model.Second
+	beginBy     = 165 * model.Second
 	starveLeast = 60 * model.Second
 	// sparedAfter is how long a job has to have waited for its first task so that
 	// this is not stopped for others.
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -18,13 +18,16 @@
 	"woadweir/internal/workerapi"
 )
 
-// Lanes of transactions: at most one of each is on its way.
+// Lanes of transactions: at most one of each is on its way. Users' changes have
+// several, as now and then the state service takes very long for one: no two of
+// them touch the same job without a guard, and they need no order.
 const (
 	laneElect = iota
-	laneUsers
 	laneHolder
 	laneMisc
-	lanes
+	laneUsers // the first of userLanes
+	userLanes = 4
+	lanes     = laneUsers + userLanes
 )
 
 // theBlock is the one block of the present policy: the leader holds it.
@@ -587,7 +590,8 @@
 		u.answer(userapi.Error(503, "try again", 1))
 		return true
 	})
-	if c.busy[laneUsers] || c.now < c.pauses[laneUsers] {
+	lane := laneUsers + slices.Index(c.busy[laneUsers:], false)
+	if lane < laneUsers || c.now < c.pauses[laneUsers] {
 		return
 	}
 	n := min(len(c.users), c.set.Params.State.TxnOps, c.budget.Left(c.now))
@@ -631,7 +635,7 @@
 	if len(batch) == 0 {
 		return
 	}
-	c.send(laneUsers, msgCommitted{txn: t, users: batch})
+	c.send(lane, msgCommitted{txn: t, users: batch})
 }
 
 func (u *userWrite) answer(a userapi.Answer) {
@@ -703,10 +707,10 @@
 
 func (c *controller) committed(m msgCommitted) {
 	c.busy[m.lane] = false
-	switch m.lane {
-	case laneElect:
+	switch {
+	case m.lane == laneElect:
 		c.elected(m)
-	case laneUsers:
+	case m.lane >= laneUsers:
 		c.usersCommitted(m)
 	default:
 		if c.leading != nil && c.leading.token == m.token {
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -393,3 +393,37 @@
 		}
 	}
 }
+
+// Now and then the state service takes very long for a transaction. What others
+// submit meanwhile is accepted at once all the same.
+func TestSlowAcceptanceHoldsUpNoOther(t *testing.T) {
+	w := newWorld(t, 43)
+	w.until(10*model.Second, "machine types are known", func() bool { return len(w.nodes[0].ctl.view.Flavors) > 0 })
+	n := w.nodes[0]
+	slow := 0
+	n.intercept = func(m msgCommitted) bool {
+		if m.lane >= laneUsers && slow < 2 {
+			slow++
+			return true // no answer, for now
+		}
+		return false
+	}
+	accept := func(i int) (code int) {
+		reply := make(chan userapi.Answer, 1)
+		s := sweepJob(i, 1, 5)
+		n.ask(msgSubmit{s.Ref, s, nil, reply}, nil)
+		for range 30 {
+			w.Run(w.Now + 10*model.Millisecond)
+			if len(reply) > 0 {
+				return (<-reply).Code
+			}
+		}
+		return 0
+	}
+	if a, b := accept(1), accept(2); a != 0 || b != 0 || slow != 2 {
+		t.Fatalf("answered %d and %d with %d transactions on their way", a, b, slow)
+	}
+	if code := accept(3); code != 201 {
+		t.Errorf("behind two slow transactions: %d", code)
+	}
+}
