--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -86,8 +86,9 @@
 const missed = place.Late / 2
 
 // nearMost bounds how long a job may be overtaken by others that have less to do:
-// half of the four minutes in which even the largest are to begin.
-const nearMost = 120 * model.Second
+// well within the four minutes in which even the largest are to begin, as those
+// take longest to get their machines together.
+const nearMost = 90 * model.Second
 
 // due ranks jobs of the same rank. Of what can still meet all aims of its class,
 // that with least left to do goes first, so that most jobs are in time when not
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,10 +70,10 @@
 	g.Go(func() error { return ses.run(ctx) })
 	g.Go(func() error { return tick(ctx, mail) })
 	srv := &fasthttp.Server{Handler: f.serve, Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
-		ReadBufferSize: 4096, IdleTimeout: 2 * time.Minute, ReadTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second,
+		ReadBufferSize: 4096, IdleTimeout: idleTimeout(set), ReadTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second,
 		Logger: quiet{}, NoDefaultContentType: true, DisablePreParseMultipartForm: true}
 	if n := set.Params.Quota.FDLimit; n > 0 {
-		srv.Concurrency = max(64, n*4/5)
+		srv.Concurrency = max(64, n*9/10)
 	}
 	g.Go(func() error { return srv.Serve(ln) })
 	g.Go(func() error { <-ctx.Done(); return srv.Shutdown() })
@@ -83,6 +83,13 @@
 	return nil
 }
 
+// idleTimeout is how long a connection may be silent. Workers whose machines were
+// cut off come back on new connections, hundreds at once, while nothing ends their
+// old ones: those must be gone before they are too many.
+func idleTimeout(set *config.Settings) time.Duration {
+	return max(30*time.Second, (6 * model.Seconds(set.Params.Workers.ReportS)).Duration())
+}
+
 // quiet drops the HTTP server's own complaints about broken connections.
 type quiet struct{}
 
