Of jobs that have waited too long, the oldest goes first

What would not begin in time by the rate of its class goes first; but among these the usual order held, in which what can still meet an aim goes before what can't. In a long overload there were always enough of the former.

--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -876,6 +876,22 @@
 	}
 }
 
+// Of what goes first because it has waited so long, the oldest is served first. By
+// the order of the others, what can still meet an aim would go before what can't,
+// and in a long overload the oldest would wait for ever.
+func TestOldestOfTheStarvedFirst(t *testing.T) {
+	h := newHolder(5)
+	h.P.Waits = map[string][]model.Micros{"c": {30 * sec, 150 * sec}}
+	now := 300 * sec
+	h.AddJob(job("j-young", 2, model.Gang), model.Set{}, "", now, 90*sec)
+	old := h.AddJob(job("j-old", 12, model.Gang), model.Set{}, "", now, 200*sec)
+	w := h.World(now)
+	w.Sort()
+	if !w.Jobs[1].Starved || w.Jobs[0] != old {
+		t.Errorf("%s is served first; starved: %v, %v", w.Jobs[0].Ref, w.Jobs[0].Starved, w.Jobs[1].Starved)
+	}
+}
+
 // What has to be written along with a change stays little, and slots stay few,
 // however long machines come, change and go.
 func TestSlotsStayFew(t *testing.T) {
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -130,6 +130,10 @@
 		return 1
 	}
 	slices.SortStableFunc(w.Jobs, func(a, b *model.JobState) int {
+		if a.Starved && b.Starved {
+			// By age alone: what can still meet an aim would keep the oldest waiting.
+			return cmp.Or(cmp.Compare(b.Rank, a.Rank), cmp.Compare(idle(a), idle(b)))
+		}
 		return cmp.Or(first(a.Starved, b.Starved), cmp.Compare(b.Rank, a.Rank), first(a.Paid, b.Paid), first(a.DueAt < Late, b.DueAt < Late), first(a.Soon, b.Soon), first(a.Within, b.Within), cmp.Compare(a.DueAt, b.DueAt))
 	})
 }
