--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -11,7 +11,7 @@
 // fleetSettings are those of a far larger deployment, with reports half as often.
 func fleetSettings(name string) *config.Settings {
 	s := simSettings(name)
-	s.Params.Teams = []config.Team{{Name: "red", CPUs: 8000, CPUsMax: 14_000, GPUs: 500, GPUsMax: 2000}, {Name: "blue", CPUs: 5000, CPUsMax: 9000}}
+	s.Params.Teams = []config.Team{{Name: "red", CPUs: 12_000, CPUsMax: 20_000, GPUs: 500, GPUsMax: 2000}, {Name: "blue", CPUs: 5000, CPUsMax: 9000}}
 	w := &s.Params.Workers
 	w.ReportS, w.LeaseS, w.GangWaitS, w.GangPeerS, w.CancelS = 5, 26.5, 30, 5, 46.5
 	s.Params.State.RPS, s.Params.State.WriteRPS = 300, 90
@@ -36,8 +36,8 @@
 	w := newDeployment(t, 41, fleetSettings, capacity)
 	w.copies = 0.03
 	var us []*user
-	for i := range 220 {
-		w.At(model.Micros(i)*200*model.Millisecond, func() {
+	for i := range 320 {
+		w.At(model.Micros(i)*120*model.Millisecond, func() {
 			s := sweepJob(i, 40, 25)
 			if i%4 == 0 {
 				s = gangJob(i, 4, 25)
@@ -52,7 +52,7 @@
 	}
 	w.Run(40 * model.Second)
 	ws := w.cloud.Workers()
-	if len(ws) < 800 {
+	if len(ws) < 1700 {
 		t.Fatalf("only %d machines are up", len(ws))
 	}
 	for i, x := range ws {
@@ -107,7 +107,7 @@
 			t.Errorf("%s never ended", u.sub.Ref)
 		}
 	}
-	if accepted < len(us)*9/10 || w.rules.Starts < 6000 {
+	if accepted < len(us)*9/10 || w.rules.Starts < 9000 {
 		t.Errorf("%d of %d accepted, %d starts", accepted, len(us), w.rules.Starts)
 	}
 }
