--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -1055,3 +1055,29 @@
 		t.Errorf("the room made for one gang went to %v", x)
 	}
 }
+
+// Reports that come as far apart as the settings let them pass for heard, and ones
+// after a lost answer don't: that worker has waited four seconds for each of two
+// controllers and one more before the next. A time that is right for one report
+// period closes half of the machines for a round, or notices nothing, at another.
+func TestHearingAtBothReportPeriods(t *testing.T) {
+	for _, report := range []model.Micros{5 * sec / 2, 5 * sec} {
+		h := newHolder(5)
+		h.P.Report = report
+		m := h.AddHost("h1", "box", "a", false, 0)
+		w := newWorker(h, "h1", "box", "a")
+		r := w.r
+		at := sec
+		for i, gap := range []model.Micros{0, report, report * 3 / 2, 10 * sec} {
+			at += gap
+			r.Tally, r.Warrant = uint64(i+1), 5
+			h.Take(&r, at)
+			if want := i == 1 || i == 2; m.Hears != want {
+				t.Errorf("reports every %v: after %v it counts as heard: %v", report, gap, m.Hears)
+			}
+		}
+		if stop := h.World(at).StopTime; stop < report || stop > 2*report {
+			t.Errorf("reports every %v: %v until a stopped task's room is free", report, stop)
+		}
+	}
+}
