Tests: say once what a full report is, and how many machines can be rented

Five tests and a benchmark had the loop that reports all bound pieces as running, and two tests the one that fills the cloud. No assertion has changed.

--- a/internal/core/block/bench_test.go
+++ b/internal/core/block/bench_test.go
@@ -67,10 +67,7 @@
 func (w *worker) report(now model.Micros) *Report {
 	w.tally++
 	r := w.r
-	r.Tally, r.Warrant, r.Pieces = w.tally, 5, nil
-	for id, b := range w.h.Hosts[w.r.Host].Bound {
-		r.Pieces = append(r.Pieces, Piece{ID: id, Try: b.Try, Status: model.Running})
-	}
+	r.Tally, r.Warrant, r.Pieces = w.tally, 5, running(w.h, w.r.Host)
 	w.h.Take(&r, now)
 	return &r
 }
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -99,6 +99,15 @@
 	return nil
 }
 
+// running are the pieces of a report that says that all that is bound to a machine
+// runs.
+func running(h *Holder, ref string) (ps []Piece) {
+	for _, b := range h.Hosts[ref].Bound {
+		ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
+	}
+	return ps
+}
+
 func TestStartOnlyOnceBindingIsDurable(t *testing.T) {
 	h := newHolder(5)
 	h.AddJob(job("j-1", 2, model.Sweep), model.Set{}, "", 0, 0)
@@ -571,10 +580,7 @@
 	hot.Rank, hot.Class = model.Urgent, "hot"
 	hot.Need.Cores = 2000
 	h.AddJob(hot, model.Set{}, "", 2*sec, 0)
-	var ps []Piece
-	for _, b := range h.Hosts["h1"].Bound {
-		ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
-	}
+	ps := running(h, "h1")
 	_, orders := w.says(4*sec, 5, ps...)
 	if n := verbs(orders, "stop"); n != 2 {
 		t.Fatalf("%d stopped to make room for two cores, orders %v", n, orders)
@@ -702,10 +708,7 @@
 		low := job("j-2", 3, model.Sweep)
 		low.Rank = model.Idle
 		js := h.AddJob(low, model.Set{}, "", 2*sec, 0)
-		var ps []Piece
-		for _, b := range h.Hosts["h1"].Bound {
-			ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
-		}
+		ps := running(h, "h1")
 		w.says(wait, 5, ps...)
 		ps[0].Status, ps[0].Cause = model.Ended, "done"
 		ps[1].Status, ps[1].Cause = model.Ended, "done"
@@ -944,10 +947,7 @@
 	h.AddJob(job("j-1", 4, model.Sweep), model.Set{}, "", 0, 0)
 	w := newWorker(h, "h1", "box", "a")
 	w.starts()
-	var ps []Piece
-	for _, b := range h.Hosts["h1"].Bound {
-		ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
-	}
+	ps := running(h, "h1")
 	w.says(3*sec, 5, ps...)
 	other, same := job("j-2", 1, model.Sweep), job("j-3", 1, model.Sweep)
 	other.Image, other.ImageGB = "x", 20
@@ -975,10 +975,7 @@
 		hot := job("j-2", 1, model.Sweep)
 		hot.Rank, hot.Class = rank, "hot"
 		h.AddJob(hot, model.Set{}, "", 2*sec, 0)
-		var ps []Piece
-		for _, b := range h.Hosts["h1"].Bound {
-			ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
-		}
+		ps := running(h, "h1")
 		_, orders := w.says(20*sec, 5, ps...)
 		if n := verbs(orders, "stop"); n != int(rank-model.Standard) {
 			t.Errorf("rank %v: %d GPU tasks stopped for one without", rank, n)
@@ -1022,10 +1019,7 @@
 		return n
 	}
 	for _, w := range ws {
-		var ps []Piece
-		for _, b := range h.Hosts[w.r.Host].Bound {
-			ps = append(ps, Piece{ID: b.ID, Try: b.Try, Status: model.Running})
-		}
+		ps := running(h, w.r.Host)
 		w.says(8*sec, 5, ps...)
 	}
 	a := gang("j-2", 8*sec, 7*sec)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"fmt"
 	"testing"
 
 	"woadweir/internal/config"
@@ -26,14 +25,7 @@
 // come late all the time. No rule is broken, nobody who was accepted is forgotten,
 // and once all is over everything ends.
 func TestManyMachinesFailTogether(t *testing.T) {
-	capacity := map[string]int{}
-	for _, y := range []string{"a", "b"} {
-		for _, spot := range []bool{true, false} {
-			capacity[fmt.Sprintf("small/%s/%v", y, spot)] = 350
-			capacity[fmt.Sprintf("gpu/%s/%v", y, spot)] = 125
-		}
-	}
-	w := newDeployment(t, 41, fleetSettings, capacity)
+	w := newDeployment(t, 41, fleetSettings, capacity(350, 125))
 	w.copies = 0.03
 	var us []*user
 	for i := range 320 {
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -98,16 +98,21 @@
 	return s
 }
 
-// newWorld is a small deployment: its fleet is soon full.
-func newWorld(t *testing.T, seed uint64) *world {
-	capacity := map[string]int{}
+// capacity is so many machines of each type in each zone and of each kind.
+func capacity(small, gpu int) map[string]int {
+	m := map[string]int{}
 	for _, y := range []string{"a", "b"} {
 		for _, spot := range []bool{true, false} {
-			capacity[fmt.Sprintf("small/%s/%v", y, spot)] = 4
-			capacity[fmt.Sprintf("gpu/%s/%v", y, spot)] = 2
+			m[fmt.Sprintf("small/%s/%v", y, spot)] = small
+			m[fmt.Sprintf("gpu/%s/%v", y, spot)] = gpu
 		}
 	}
-	return newDeployment(t, seed, simSettings, capacity)
+	return m
+}
+
+// newWorld is a small deployment: its fleet is soon full.
+func newWorld(t *testing.T, seed uint64) *world {
+	return newDeployment(t, seed, simSettings, capacity(4, 2))
 }
 
 func newDeployment(t *testing.T, seed uint64, settings func(name string) *config.Settings, capacity map[string]int) *world {
