--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"encoding/xml"
 	"fmt"
 	"math"
@@ -43,6 +44,14 @@
 	Times   float64 `toml:"times"` // of its deadline
 }
 
+// Limits are what the state service bears.
+type Limits struct {
+	RPS      float64 `toml:"rps"`
+	WriteRPS float64 `toml:"write_rps"`
+	ValueKB  float64 `toml:"value_kb"`
+	TxnOps   int     `toml:"txn_ops"`
+}
+
 // Settings is the platform's file. Fields it does not name are ignored.
 type Settings struct {
 	NodeName string    `toml:"node_name"`
@@ -67,10 +76,15 @@
 			CancelS   float64 `toml:"cancel_s"`
 		} `toml:"workers"`
 		State struct {
-			RPS      float64 `toml:"rps"`
-			WriteRPS float64 `toml:"write_rps"`
-			ValueKB  float64 `toml:"value_kb"`
-			TxnOps   int     `toml:"txn_ops"`
+			Limits
+			// Next holds the limits that the state service will have from some
+			// unannounced moment on; what it does not name stays.
+			Next struct {
+				RPS      *float64 `toml:"rps"`
+				WriteRPS *float64 `toml:"write_rps"`
+				ValueKB  *float64 `toml:"value_kb"`
+				TxnOps   *int     `toml:"txn_ops"`
+			} `toml:"next"`
 		} `toml:"state"`
 		Cloud struct {
 			RPS      float64 `toml:"rps"`
@@ -149,16 +163,18 @@
 		{"params.workers.gang_wait_s", p.Workers.GangWaitS, 0, 86400, true},
 		{"params.workers.gang_peer_s", p.Workers.GangPeerS, 0, 86400, true},
 		{"params.workers.cancel_s", p.Workers.CancelS, 0, 86400, false},
-		{"params.state.rps", p.State.RPS, 0, 1e9, false},
-		{"params.state.write_rps", p.State.WriteRPS, 0, 1e9, false},
-		{"params.state.value_kb", p.State.ValueKB, 0, 1e6, false},
-		{"params.state.txn_ops", float64(p.State.TxnOps), 2, 1e6, true},
 		{"params.cloud.rps", p.Cloud.RPS, 0, 1e6, false},
 		{"params.cloud.list_lag_s", p.Cloud.ListLagS, 0, 3600, true},
 		{"params.clock_error_ms", p.ClockErrorMs, 0, 1e7, true},
 		{"params.quota.cores", p.Quota.Cores, 0, 1e4, true},
 		{"params.quota.ram_mb", p.Quota.RAMMB, 0, 1e7, true},
 	}
+	limits := func(at string, l Limits) {
+		bounds = append(bounds, bound{at + ".rps", l.RPS, 0, 1e9, false}, bound{at + ".write_rps", l.WriteRPS, 0, 1e9, false},
+			bound{at + ".value_kb", l.ValueKB, 1, 1e6, true}, bound{at + ".txn_ops", float64(l.TxnOps), 2, 1e6, true})
+	}
+	limits("params.state", p.State.Limits)
+	limits("params.state.next", s.nextLimits())
 	if len(p.Teams) == 0 {
 		return fmt.Errorf("params.teams: missing")
 	}
@@ -182,6 +198,32 @@
 	return nil
 }
 
+// nextLimits are the limits of the state service after they have changed.
+func (s *Settings) nextLimits() Limits {
+	l, n := s.Params.State.Limits, &s.Params.State.Next
+	if n.RPS != nil {
+		l.RPS = *n.RPS
+	}
+	if n.WriteRPS != nil {
+		l.WriteRPS = *n.WriteRPS
+	}
+	if n.ValueKB != nil {
+		l.ValueKB = *n.ValueKB
+	}
+	if n.TxnOps != nil {
+		l.TxnOps = *n.TxnOps
+	}
+	return l
+}
+
+// StateLimits are the limits of the state service that are kept at any time: the
+// smaller ones of now and next, as the change comes without notice.
+func (s *Settings) StateLimits() Limits {
+	now, next := s.Params.State.Limits, s.nextLimits()
+	return Limits{RPS: min(now.RPS, next.RPS), WriteRPS: min(now.WriteRPS, next.WriteRPS), ValueKB: min(now.ValueKB, next.ValueKB),
+		TxnOps: min(now.TxnOps, next.TxnOps)}
+}
+
 // Teams converts the teams.
 func (s *Settings) Teams() map[string]*model.Team {
 	m := map[string]*model.Team{}
@@ -201,25 +243,23 @@
 func (s *Settings) Finish() map[string][]model.Micros { return s.within("finished") }
 
 func (s *Settings) within(kind string) map[string][]model.Micros {
-	m := map[string][]model.Micros{}
-	for _, o := range s.Params.Objectives {
-		if o.Kind == kind && o.Class != "" && o.WithinS > 0 {
-			m[o.Class] = append(m[o.Class], model.Seconds(o.WithinS))
-		}
-	}
-	for _, l := range m {
-		slices.Sort(l)
-	}
-	return m
+	return byClass(s, kind, func(o *Objective) model.Micros { return model.Seconds(o.WithinS) })
 }
 
 // Deadlines gives, by class, the multiples of their deadline by which its jobs
 // are to be done, ascending.
 func (s *Settings) Deadlines() map[string][]float64 {
-	m := map[string][]float64{}
-	for _, o := range s.Params.Objectives {
-		if o.Kind == "deadline" && o.Class != "" && o.Times > 0 {
-			m[o.Class] = append(m[o.Class], o.Times)
+	return byClass(s, "deadline", func(o *Objective) float64 { return o.Times })
+}
+
+// byClass collects what the objectives of a kind say of each class, ascending.
+func byClass[T cmp.Ordered](s *Settings, kind string, of func(*Objective) T) map[string][]T {
+	m := map[string][]T{}
+	var none T
+	for i := range s.Params.Objectives {
+		o := &s.Params.Objectives[i]
+		if v := of(o); o.Kind == kind && o.Class != "" && v > none {
+			m[o.Class] = append(m[o.Class], v)
 		}
 	}
 	for _, l := range m {
--- a/internal/core/block/bench_test.go
+++ b/internal/core/block/bench_test.go
@@ -14,7 +14,7 @@
 			"red":  {Name: "red", Guaranteed: model.Need{Cores: 40_000_000, GPUs: 3_000_000}, Max: model.Need{Cores: 90_000_000, GPUs: 9_000_000}},
 			"blue": {Name: "blue", Guaranteed: model.Need{Cores: 40_000_000}, Max: model.Need{Cores: 90_000_000}},
 		},
-		Report: 5 * sec, Lease: 26500 * model.Millisecond, GangWait: 30 * sec, Margin: sec, MaxValue: 28_000, MaxBound: 250,
+		Report: 5 * sec, Lease: 26500 * model.Millisecond, GangWait: 30 * sec, Margin: sec, MaxValue: 28_000,
 		Waits: map[string][]model.Micros{"gang": {30 * sec}},
 	}, 5)
 	h.SetFlavors([]model.Flavor{
--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -18,7 +18,6 @@
 	Report   model.Micros
 	Lease    model.Micros
 	GangWait model.Micros
-	MaxBound int                       // pieces on one machine, so that its record fits a value; 0: no bound
 	MaxValue int                       // bytes of a bundle
 	Waits    map[string][]model.Micros // by class: the times within which its tasks are to start, ascending
 	Finish   map[string][]model.Micros // by class: the times within which its jobs are to be done, ascending
@@ -96,7 +95,9 @@
 	slots  []*slot
 	liveAt map[string]int // entry -> the slot with its latest durable version
 	copies map[string]int // entry -> how many slots hold some version of it
-	pinned []int          // slots whose last write may yet be carried out late
+	again  []Write        // bundles whose last write may yet be carried out late
+	opened int            // bundles begun since the slots were last recounted
+	labels map[string]int // bytes of names
 	runs   map[string]*runStat
 
 	keeps map[*model.JobState][]place.Keep
@@ -107,7 +108,7 @@
 func New(p Params, token uint64) *Holder {
 	return &Holder{P: p, Token: token, Jobs: map[string]*model.JobState{}, Hosts: map[string]*model.Host{},
 		Used: map[string]model.Need{}, Flavors: map[string]*model.Flavor{}, Log: func(Event) {},
-		queued: map[string]bool{}, liveAt: map[string]int{}, copies: map[string]int{}, runs: map[string]*runStat{}, keeps: map[*model.JobState][]place.Keep{}}
+		queued: map[string]bool{}, liveAt: map[string]int{}, copies: map[string]int{}, labels: map[string]int{}, runs: map[string]*runStat{}, keeps: map[*model.JobState][]place.Keep{}}
 }
 
 // NextTry gives an attempt number that no start has ever carried: the token is
@@ -124,11 +125,18 @@
 		return js
 	}
 	js := &model.JobState{Job: j, Done: done, Ended: ended, Bound: map[int][]*model.Bound{}, SeenAt: now - age, IdleAt: now - age}
+	js.Parts = make([]model.Versions, 1)
+	if h.parted(j) {
+		js.Parts = make([]model.Versions, model.Parts(j.Pieces))
+	}
 	if ended == "" {
 		js.Waiting = make([]int, 0, j.Pieces-done.Len())
 		for i := range j.Pieces {
 			if !done.Has(i) {
 				js.Waiting = append(js.Waiting, i)
+			} else if len(js.Parts) > 1 && js.Parts[i/model.PartPieces].Now == 0 {
+				// It may stand in a whole that is too large to be written again.
+				h.pushDone(js, i)
 			}
 		}
 		if done.Len() >= j.Pieces {
@@ -182,6 +190,7 @@
 	id := model.PieceID{Job: js.Ref, N: n}
 	b := &model.Bound{ID: id, Try: try, Job: js.Job, Host: m, At: now}
 	m.Bound[id] = b
+	weigh(b, 1)
 	js.Bound[n] = append(js.Bound[n], b)
 	if i, ok := slices.BinarySearch(js.Waiting, n); ok {
 		js.Waiting = slices.Delete(js.Waiting, i, i+1)
@@ -221,6 +230,7 @@
 		return
 	}
 	delete(m.Bound, b.ID)
+	weigh(b, -1)
 	m.Used = m.Used.Minus(b.Job.Need)
 	m.Changed = true
 	if len(m.Bound) == 0 {
@@ -461,12 +471,11 @@
 	if i, ok := slices.BinarySearch(js.Waiting, id.N); ok {
 		js.Waiting = slices.Delete(js.Waiting, i, i+1)
 	}
-	js.ProgVer++
 	if js.Done.Len() >= js.Pieces {
 		h.wantEnd(js)
 		return
 	}
-	h.push(doneEntry + js.Ref)
+	h.pushDone(js, id.N)
 }
 
 // failed judges whether the machine or the job is at fault. Mostly it is the
@@ -556,7 +565,7 @@
 			continue
 		}
 		if js := h.Jobs[p.ID.Job]; p.Cause == "done" && js != nil && js.Ended == "" &&
-			(js.EndWanted || js.ProgStored < js.ProgVer) {
+			(js.EndWanted || !settled(js, p.ID.N)) {
 			continue // its completion is not durable yet: it must not be forgotten
 		}
 		orders = append(orders, Order{Verb: "clear", Piece: p.ID, Try: p.Try})
@@ -635,7 +644,7 @@
 	}
 	delete(h.Hosts, ref)
 	if m.Stored || m.Ver > 0 {
-		h.push(hostEntry + ref)
+		h.push(HostEntry + ref)
 	}
 }
 
@@ -687,7 +696,7 @@
 
 // World is what a placement round looks at.
 func (h *Holder) World(now model.Micros) *place.World {
-	w := &place.World{Now: now, Guarantee: h.P.Guarantee, Silent: 3 * h.P.Report, StopTime: h.P.Report * 6 / 5, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, MaxBound: h.P.MaxBound,
+	w := &place.World{Now: now, Guarantee: h.P.Guarantee, Silent: 3 * h.P.Report, StopTime: h.P.Report * 6 / 5, Teams: h.P.Teams, Used: h.Used, NextTry: h.NextTry, Flavors: h.Flavors, Slots: h.Slots,
 		Hosts: make([]*model.Host, 0, len(h.Hosts)), Jobs: make([]*model.JobState, 0, len(h.Jobs))}
 	for _, m := range h.Hosts {
 		w.Hosts = append(w.Hosts, m)
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -291,7 +291,7 @@
 	if len(js.Bound) != 2 || js.Bound[0][0].Try != js.Bound[1][0].Try {
 		t.Fatal("the gang is not bound under one attempt")
 	}
-	ws := h.Writes(1, 250) // room for the first record only
+	ws := h.Writes(1, 150) // room for the first record only
 	if h.Committed(ws, sec); len(ws) != 1 || len(ws[0].vers) != 1 {
 		t.Fatalf("%+v written, want one of two records", ws)
 	}
@@ -433,10 +433,10 @@
 	h.AddJob(job("j-2", 4, model.Sweep), model.Set{}, "", 0, 0)
 	newWorker(h, "h2", "box", "a").says(sec, 5)
 	lost := h.Writes(16, 48<<10)
-	h.P.MaxValue = 1 // a slot that holds anything is full now
+	h.P.MaxValue = 400 // a slot that holds anything is full now
 	h.AddJob(job("j-3", 4, model.Sweep), model.Set{}, "", 0, 0)
 	newWorker(h, "h3", "box", "a").says(sec, 5)
-	h.Retry(lost)
+	h.Retry(lost, true)
 	again := h.Writes(16, 48<<10)
 	if again[0].Slot != lost[0].Slot {
 		t.Fatalf("slot %d is written first, want %d", again[0].Slot, lost[0].Slot)
@@ -466,7 +466,7 @@
 		}
 	}
 	for _, ref := range []string{"h1", "h2", "h3"} {
-		h.P.MaxValue = 600 // one machine fills a quarter
+		h.P.MaxValue = 280 // one machine fills a quarter
 		h.touch(h.AddHost(ref, "box", "a", false, 0))
 		store()
 	}
--- a/internal/core/block/writes.go
+++ b/internal/core/block/writes.go
@@ -1,7 +1,9 @@
 package block
 
 import (
+	"encoding/json"
 	"slices"
+	"strconv"
 	"strings"
 
 	"woadweir/internal/core/model"
@@ -24,14 +26,31 @@
 	Done  map[string][]byte      `json:"done,omitempty"` // job -> bit set of finished tasks
 }
 
+// PartMark stands between a job and the number of a part of its finished tasks. A
+// job has parts if all its tasks' bits would be too large for a bundle.
+const PartMark = "#"
+
+// PartEntry names a part of a job's finished tasks.
+func PartEntry(ref string, k int) string { return DoneEntry + ref + PartMark + strconv.Itoa(k) }
+
+// Has tells whether an entry stands in the bundle.
+func (b *BundleRecord) Has(name string) (ok bool) {
+	if ref, host := strings.CutPrefix(name, HostEntry); host {
+		_, ok = b.Hosts[ref]
+	} else {
+		_, ok = b.Done[strings.TrimPrefix(name, DoneEntry)]
+	}
+	return ok
+}
+
 // Names lists the entries of a bundle.
 func (b *BundleRecord) Names() []string {
 	names := make([]string, 0, len(b.Hosts)+len(b.Done))
 	for ref := range b.Hosts {
-		names = append(names, hostEntry+ref)
+		names = append(names, HostEntry+ref)
 	}
 	for ref := range b.Done {
-		names = append(names, doneEntry+ref)
+		names = append(names, DoneEntry+ref)
 	}
 	return names
 }
@@ -43,12 +62,15 @@
 	Spec   *model.Submission `json:"spec,omitempty"`
 	End    string            `json:"end,omitempty"`
 	Pieces int               `json:"pieces,omitempty"`
+	// AtMs is the time of day of the end: the times of jobs that await this one count
+	// from then.
+	AtMs int64 `json:"atMs,omitempty"`
 }
 
 // What waits to be written: entries of bundles, and ends of jobs.
 const (
-	hostEntry = "host/"
-	doneEntry = "done/"
+	HostEntry = "host/"
+	DoneEntry = "done/"
 	endEntry  = "end/"
 )
 
@@ -59,6 +81,9 @@
 	Value any
 	vers  map[string]uint64 // the entries, with the versions that the value has
 	size  int
+	// lost tells that the same write got no answer before, and may yet be carried out
+	// late.
+	lost bool
 }
 
 // slot is a place for a bundle: what stands there durably, with the sizes it had
@@ -78,11 +103,11 @@
 // touch marks a host's record as changed.
 func (h *Holder) touch(m *model.Host) {
 	m.Ver++
-	h.push(hostEntry + m.Ref)
+	h.push(HostEntry + m.Ref)
 }
 
 // Queued is the number of records waiting to be written.
-func (h *Holder) Queued() int { return len(h.queue) }
+func (h *Holder) Queued() int { return len(h.queue) + len(h.again) }
 
 // LoadSlot books what stands durably in a slot: a bundle that was just written, or
 // one of an earlier holder's. Bundles have to be booked in the order in which they
@@ -119,28 +144,136 @@
 	}
 }
 
-// Sizes of records, estimated from above.
+// Bytes of records in JSON, counted from above.
 const (
-	bytesPerHost  = 120
-	bytesPerPiece = 40
-	bytesPerDone  = 40
+	bytesPerHost = len(`"":{"build":,"yard":,"spot":true,"pieces":{}},`)
+	bytesPerTask = len(`[,],`)   // and the digits
+	bytesPerJob  = len(`"":[],`) // of the pieces on a machine
+	bytesPerDone = len(`"":"",`) + 4
+	bytesBundle  = len(`{"hosts":{},"done":{}}`)
 )
 
-// size estimates the bytes of an entry.
+func digits(v uint64) int {
+	n := 1
+	for ; v > 9; v /= 10 {
+		n++
+	}
+	return n
+}
+
+// taskBytes is what a bound piece takes in its host's record, beside its job.
+func taskBytes(n int, try uint64) int { return bytesPerTask + digits(uint64(n)) + digits(try) }
+
+// quoted is what a string takes in JSON.
+func quoted(s string) int {
+	raw, err := json.Marshal(s)
+	if err != nil {
+		panic(err)
+	}
+	return len(raw)
+}
+
+func (h *Holder) hostBytes(m *model.Host) int {
+	return bytesPerHost + len(m.Ref) + h.label(m.Build) + h.label(m.Yard) + m.Bytes
+}
+
+// label is what a machine type's or a zone's name takes in JSON: there are few.
+func (h *Holder) label(s string) int {
+	n, ok := h.labels[s]
+	if !ok {
+		n = quoted(s)
+		h.labels[s] = n
+	}
+	return n
+}
+
+// weigh books a piece in its host's record, or takes it out with -1.
+func weigh(b *model.Bound, sign int) {
+	m := b.Host
+	m.Bytes += sign * taskBytes(b.ID.N, b.Try)
+	was := m.Tasks[b.ID.Job]
+	if was == 0 || was == 1 && sign < 0 {
+		m.Bytes += sign * (bytesPerJob + len(b.ID.Job))
+	}
+	if m.Tasks == nil {
+		m.Tasks = map[string]int{}
+	}
+	if m.Tasks[b.ID.Job] = was + sign; was+sign == 0 {
+		delete(m.Tasks, b.ID.Job)
+	}
+}
+
+// Slots is how many more tasks of a job may be bound to a host, so that its record
+// fits into a bundle beside what that has to carry along.
+func (h *Holder) Slots(j *model.Job, m *model.Host) int {
+	if h.P.MaxValue == 0 {
+		return model.MaxPieces
+	}
+	left := h.P.MaxValue - h.P.MaxValue/carryShare - bytesBundle - h.hostBytes(m) - bytesPerJob - len(j.Ref)
+	return max(0, left/taskBytes(j.Pieces, (h.Token+1)<<20))
+}
+
+// parted tells whether a job's finished tasks are stored in parts.
+func (h *Holder) parted(j *model.Job) bool {
+	return h.P.MaxValue > 0 && j.Pieces > model.PartPieces && doneBytes(j, (j.Pieces+7)/8) > h.P.MaxValue/2
+}
+
+func doneBytes(j *model.Job, bits int) int { return bytesPerDone + len(j.Ref) + (bits+2)/3*4 }
+
+// partOf is the job and the number of the part that an entry of finished tasks is
+// about, -1 for the whole.
+func (h *Holder) partOf(entry string) (*model.JobState, int) {
+	ref, part, parted := strings.Cut(strings.TrimPrefix(entry, DoneEntry), PartMark)
+	if !parted {
+		return h.Jobs[ref], -1
+	}
+	k, err := strconv.Atoi(part)
+	js := h.Jobs[ref]
+	if err != nil || js == nil || k < 0 || k >= model.Parts(js.Pieces) {
+		return nil, 0
+	}
+	return js, k
+}
+
+// size is what an entry takes in a bundle.
 func (h *Holder) size(entry string) int {
-	if ref, ok := strings.CutPrefix(entry, hostEntry); ok {
-		n := bytesPerHost
+	if ref, ok := strings.CutPrefix(entry, HostEntry); ok {
 		if m := h.Hosts[ref]; m != nil {
-			for id := range m.Bound {
-				n += bytesPerPiece + len(id.Job)
-			}
+			return h.hostBytes(m)
 		}
-		return n
+		return bytesPerHost + len(ref)
+	}
+	js, k := h.partOf(entry)
+	switch {
+	case js == nil:
+		return bytesPerDone
+	case k >= 0:
+		return doneBytes(js.Job, len(js.Done.Part(k))) + 4
+	}
+	return doneBytes(js.Job, len(js.Done.Bytes()))
+}
+
+// push notes that finished tasks of a job are to be written: the part of them that
+// piece n is in.
+func (h *Holder) pushDone(js *model.JobState, n int) {
+	if len(js.Parts) == 1 {
+		js.Parts[0].Now++
+		h.push(DoneEntry + js.Ref)
+		return
 	}
-	if js := h.Jobs[strings.TrimPrefix(entry, doneEntry)]; js != nil {
-		return bytesPerDone + len(js.Ref) + len(js.Done.Bytes())*4/3
+	k := n / model.PartPieces
+	js.Parts[k].Now++
+	h.push(PartEntry(js.Ref, k))
+}
+
+// settled tells that the completion of a task is durable, or will be with the
+// job's end.
+func settled(js *model.JobState, n int) bool {
+	v := js.Parts[0]
+	if len(js.Parts) > 1 {
+		v = js.Parts[n/model.PartPieces]
 	}
-	return bytesPerDone
+	return v.Stored >= v.Now
 }
 
 // kept tells whether an entry has to stay when its slot is written anew: its
@@ -150,11 +283,19 @@
 	if h.liveAt[entry] != k {
 		return false
 	}
-	if ref, ok := strings.CutPrefix(entry, hostEntry); ok {
+	if ref, ok := strings.CutPrefix(entry, HostEntry); ok {
 		return h.Hosts[ref] != nil || h.copies[entry] > 1
 	}
-	js := h.Jobs[strings.TrimPrefix(entry, doneEntry)]
-	return js != nil && js.Ended == ""
+	js, part := h.partOf(entry)
+	if js == nil || js.Ended != "" {
+		return false
+	}
+	if part < 0 && len(js.Parts) > 1 {
+		// The whole, of a holder that had larger values: it is read as long as not all
+		// that it says stands in parts.
+		return slices.ContainsFunc(js.Parts, func(v model.Versions) bool { return v.Stored == 0 && v.Now > 0 })
+	}
+	return true
 }
 
 // carried is what would have to be written along with anything new in a slot.
@@ -168,34 +309,37 @@
 	return entries, size
 }
 
-// open begins a bundle in the slot that has least to be carried along. A slot
-// whose last write got no answer goes first: until that write is surely
-// overtaken, its late copy could bring back old values. A new slot is added when
-// all are rather full.
-func (h *Holder) open(taken map[int]bool) *Write {
-	best := -1
-	for _, k := range h.pinned {
-		if !taken[k] {
-			best = k
-			break
+// carryShare is the part of a bundle that may be carried along from what stood in
+// its slot.
+const carryShare = 4
+
+// open begins a bundle for an entry of that size, in the slot that has least to be
+// carried along. A new slot is added when all are rather full.
+func (h *Holder) open(taken map[int]bool, size int) *Write {
+	most := max(0, min(h.P.MaxValue/carryShare, h.P.MaxValue-bytesBundle-size))
+	best := h.emptiest(taken)
+	if best >= 0 && h.slots[best].live > most && h.opened > len(h.slots)/4 {
+		// What has ended since may be all that fills them.
+		h.opened = 0
+		for k := range h.slots {
+			h.recount(k)
 		}
-	}
-	if best < 0 {
 		best = h.emptiest(taken)
-		if best >= 0 && h.slots[best].live > h.P.MaxValue/4 {
-			// What has ended since may be all that fills them.
-			for k := range h.slots {
-				h.recount(k)
-			}
-			best = h.emptiest(taken)
-		}
-		if best < 0 || h.slots[best].live > h.P.MaxValue/4 {
-			best = len(h.slots)
-			h.slots = append(h.slots, &slot{})
+	}
+	for best >= 0 && h.slots[best].live <= most {
+		// What it has may have grown since it was written.
+		if h.recount(best); h.slots[best].live <= most {
+			break
 		}
+		best = h.emptiest(taken)
+	}
+	if best < 0 || h.slots[best].live > most {
+		best = len(h.slots)
+		h.slots = append(h.slots, &slot{})
 	}
+	h.opened++
 	taken[best] = true
-	w := &Write{Slot: best, vers: map[string]uint64{}}
+	w := &Write{Slot: best, vers: map[string]uint64{}, size: bytesBundle}
 	entries, _ := h.carried(best)
 	slices.Sort(entries)
 	for _, e := range entries {
@@ -232,11 +376,9 @@
 
 // include puts an entry's present value into a bundle.
 func (h *Holder) include(w *Write, entry string) {
-	if _, ok := w.vers[entry]; ok {
-		return
-	}
 	rec, _ := w.Value.(BundleRecord)
-	if ref, ok := strings.CutPrefix(entry, hostEntry); ok {
+	size := h.size(entry)
+	if ref, ok := strings.CutPrefix(entry, HostEntry); ok {
 		m := h.Hosts[ref]
 		others := h.copies[entry]
 		if _, ok := h.slots[w.Slot].has[entry]; ok {
@@ -253,14 +395,21 @@
 		} else {
 			rec.Hosts[ref], w.vers[entry] = record(m), m.Ver
 		}
-	} else if js := h.Jobs[strings.TrimPrefix(entry, doneEntry)]; js != nil && js.Ended == "" {
+	} else if js, k := h.partOf(entry); js != nil && js.Ended == "" {
 		if rec.Done == nil {
 			rec.Done = map[string][]byte{}
 		}
-		rec.Done[js.Ref], w.vers[entry] = slices.Clone(js.Done.Bytes()), js.ProgVer
+		name := strings.TrimPrefix(entry, DoneEntry)
+		if k < 0 {
+			rec.Done[name], w.vers[entry] = slices.Clone(js.Done.Bytes()), js.Parts[0].Now
+		} else {
+			rec.Done[name], w.vers[entry] = slices.Clone(js.Done.Part(k)), js.Parts[k].Now
+		}
+	} else {
+		return
 	}
 	w.Value = rec
-	w.size += h.size(entry)
+	w.size += size
 }
 
 func record(m *model.Host) *HostRecord {
@@ -276,21 +425,20 @@
 
 // Writes takes changes from the queue, in order, as many as fit. Each value is
 // made now, so it covers everything decided until now. If the transaction fails,
-// they are given back by Retry.
+// they are given back by Retry. What got no answer goes first, as it was and alone:
+// until its keys have been written again, a late copy could bring back what has
+// been overwritten in other bundles.
 func (h *Holder) Writes(ops, bytes int) []Write {
+	if n := min(ops, len(h.again)); n > 0 {
+		ws := h.again[:n:n]
+		h.again = h.again[n:]
+		return ws
+	}
 	var ws []*Write
 	taken := map[int]bool{}
+	written := map[string]bool{}
 	var cur *Write
-	begin := func() {
-		cur = h.open(taken)
-		bytes -= cur.size
-		ws = append(ws, cur)
-	}
-	for range h.pinned {
-		if len(ws) < ops && bytes > 0 {
-			begin()
-		}
-	}
+	var left []string
 	used := 0
 	for _, entry := range h.queue {
 		if ref, ok := strings.CutPrefix(entry, endEntry); ok {
@@ -306,18 +454,42 @@
 			used++
 			continue
 		}
+		if written[entry] {
+			// It was carried along, at its present version. Two versions of it with the
+			// same stamp would leave readers to guess which one counts.
+			used++
+			continue
+		}
 		size := h.size(entry)
+		if bytesBundle+size > h.P.MaxValue && strings.HasPrefix(entry, HostEntry) {
+			// A machine on which a holder with larger values has bound more than a value
+			// bears now. It gets nothing new, so it will fit; until then a new holder finds
+			// pieces on it that are gone, which it has to see for itself.
+			left = append(left, entry)
+			used++
+			continue
+		}
 		if cur == nil || cur.size+size > h.P.MaxValue {
 			if len(ws) >= ops || bytes < size {
 				break
 			}
-			begin()
+			cur = h.open(taken, size)
+			for e := range cur.vers {
+				written[e] = true
+			}
+			bytes -= cur.size
+			ws = append(ws, cur)
+			if written[entry] {
+				used++
+				continue
+			}
 		}
-		if bytes < size && cur.size > 0 {
+		if bytes < size && len(cur.vers) > 0 {
 			break
 		}
 		before := cur.size
 		h.include(cur, entry)
+		written[entry] = true
 		bytes -= cur.size - before
 		used++
 	}
@@ -325,9 +497,12 @@
 		delete(h.queued, entry)
 	}
 	h.queue = h.queue[used:]
+	for _, entry := range left {
+		h.push(entry)
+	}
 	out := make([]Write, 0, len(ws))
 	for _, w := range ws {
-		if w.Value == nil {
+		if w.Value == nil && w.Slot >= 0 {
 			w.Value = BundleRecord{}
 		}
 		out = append(out, *w)
@@ -346,31 +521,45 @@
 		names := make([]string, 0, len(w.vers))
 		for e, ver := range w.vers {
 			names = append(names, e)
-			if m := h.Hosts[strings.TrimPrefix(e, hostEntry)]; m != nil {
-				m.DurableVer, m.Stored = max(m.DurableVer, ver), true
-			} else if js := h.Jobs[strings.TrimPrefix(e, doneEntry)]; js != nil {
-				js.ProgStored = max(js.ProgStored, ver)
+			if ref, ok := strings.CutPrefix(e, HostEntry); ok {
+				if m := h.Hosts[ref]; m != nil {
+					m.DurableVer, m.Stored = max(m.DurableVer, ver), true
+				}
+			} else if js, k := h.partOf(e); js != nil && (k >= 0 || len(js.Parts) == 1) {
+				v := &js.Parts[max(k, 0)]
+				v.Stored = max(v.Stored, ver)
 			}
 		}
 		h.LoadSlot(w.Slot, names)
-		h.pinned = slices.DeleteFunc(h.pinned, func(k int) bool { return k == w.Slot })
 	}
 }
 
-// Retry puts changes whose transaction failed, or got no answer, back to the
-// head of the queue, and has the same slots written next. Writing them again is
-// harmless: every key is guarded by the version that we last saw.
-func (h *Holder) Retry(ws []Write) {
+// Recut takes back changes that were refused as too large: they are cut anew, by
+// MaxValue as it is now. Earlier tries at them will not be carried out any more.
+func (h *Holder) Recut(ws []Write) {
+	for i := range ws {
+		ws[i].lost = false
+	}
+	h.Retry(ws, false)
+}
+
+// Retry takes back changes whose transaction failed, or got no answer (lost). In
+// the latter case bundles are written once more just as they were: that they fit is
+// known, and the guards on the versions that we last saw make it harmless.
+func (h *Holder) Retry(ws []Write, lost bool) {
 	var head []string
+	var again []Write
 	for i := range ws {
-		w := &ws[i]
-		if w.Slot >= 0 && !slices.Contains(h.pinned, w.Slot) {
-			h.pinned = append(h.pinned, w.Slot)
+		w := ws[i]
+		if w.lost = w.lost || lost; w.Slot >= 0 && w.lost {
+			again = append(again, w)
+			continue
 		}
 		for e := range w.vers {
 			head = append(head, e)
 		}
 	}
+	h.again = append(again, h.again...)
 	slices.Sort(head)
 	// What was changed again meanwhile moves to the front.
 	h.queue = slices.DeleteFunc(h.queue, func(e string) bool { return slices.Contains(head, e) })
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -42,6 +42,31 @@
 	return s
 }
 
+// Merge adds the members of a stored form whose first bit is number from, a
+// multiple of eight.
+func (s *Set) Merge(bits []byte, from int) {
+	for i, b := range bits {
+		for k := 0; b != 0; b, k = b>>1, k+1 {
+			if b&1 != 0 {
+				s.Add(from + i*8 + k)
+			}
+		}
+	}
+}
+
+// Part is the stored form of the members from k*PartPieces on, as many.
+func (s *Set) Part(k int) []byte {
+	const size = PartPieces / 8
+	return s.bits[min(k*size, len(s.bits)):min((k+1)*size, len(s.bits))]
+}
+
+// PartPieces is how many tasks of a large job one entry of finished tasks covers,
+// where the whole would be too large for a value of the state service.
+const PartPieces = 4096
+
+// Parts is the number of such entries.
+func Parts(pieces int) int { return (pieces + PartPieces - 1) / PartPieces }
+
 // Bytes is the stored form.
 func (s *Set) Bytes() []byte { return s.bits }
 
@@ -124,6 +149,8 @@
 	Size                   Need
 	Used                   Need
 	Bound                  map[PieceID]*Bound
+	Tasks                  map[string]int // bound pieces by job
+	Bytes                  int            // that the bound pieces take in its record
 	Ver, DurableVer        uint64
 	Stored                 bool // a record of it is in the state service
 
@@ -203,12 +230,15 @@
 	}
 }
 
+// Versions counts the changes of a record, and tells which is durable.
+type Versions struct{ Now, Stored uint64 }
+
 // JobState is a job with what has become of it, as its home holds it.
 type JobState struct {
 	*Job
-	Done       Set
-	ProgVer    uint64 // version of Done
-	ProgStored uint64 // version of Done that is durable
+	Done Set
+	// Parts are the versions of Done, by part: one if it is stored as a whole.
+	Parts      []Versions
 	Ended      string // "", "done" or "withdrawn", durable
 	EndWanted  bool   // all done: the end is to be written
 	Bound      map[int][]*Bound
--- a/internal/core/model/job.go
+++ b/internal/core/model/job.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 )
 
@@ -60,6 +61,9 @@
 	KeepsakeS float64  `json:"keepsakeS"`
 	StowS     float64  `json:"stowS"`
 	DueS      *float64 `json:"dueS,omitempty"`
+	// Awaits lists the jobs that have to be done before any task of this one starts,
+	// each once.
+	Awaits []string `json:"awaits,omitempty"`
 	// AtMs is the time of day of acceptance; it is ours, not the user's.
 	AtMs int64 `json:"atMs,omitempty"`
 }
@@ -136,6 +140,17 @@
 	if s.DueS != nil && (*s.DueS < 0 || *s.DueS > 1e9) {
 		return errors.New("dueS is out of range")
 	}
+	for _, a := range s.Awaits {
+		if !ValidRef(a) {
+			return errors.New("awaits: not a job id")
+		}
+	}
+	seen := make(map[string]bool, len(s.Awaits))
+	s.Awaits = slices.DeleteFunc(s.Awaits, func(a string) bool {
+		again := seen[a]
+		seen[a] = true
+		return again
+	})
 	if s.Builds != nil && len(s.Builds) == 0 {
 		return errors.New("builds is empty")
 	}
--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -25,8 +25,9 @@
 	NextTry func() uint64
 	Bind    func(j *model.JobState, n int, h *model.Host, try uint64)
 	Flavors map[string]*model.Flavor
-	// MaxBound is the most pieces that may be bound to one machine, 0: any.
-	MaxBound int
+	// Slots is how many more tasks of a job may be bound to a machine, whatever room
+	// it has.
+	Slots func(j *model.Job, h *model.Host) int
 	// Due is by when a job is to be done to be in time; a job that can't be in
 	// time any more, or needn't be, is due late.
 	Due func(j *model.JobState) model.Micros
@@ -243,12 +244,12 @@
 	return max(0, j.PerYard()-in)
 }
 
-// slots is how many more pieces may be bound to a host.
-func (w *World) slots(h *model.Host) int {
-	if w.MaxBound == 0 {
+// slots is how many more tasks of a job may be bound to a host.
+func (w *World) slots(j *model.JobState, h *model.Host) int {
+	if w.Slots == nil {
 		return model.MaxPieces
 	}
-	return max(0, w.MaxBound-len(h.Bound))
+	return w.Slots(j.Job, h)
 }
 
 // usable is what a job may use of a machine: a task without GPUs leaves what GPU
@@ -647,7 +648,7 @@
 	a := w.ask(j)
 	for _, c := range w.candidates(j, 1, ready) {
 		h := c.r.h
-		k := min(left, j.Need.Count(c.r.usable(a), left), YardRoom(j, h.Yard), w.slots(h))
+		k := min(left, j.Need.Count(c.r.usable(a), left), YardRoom(j, h.Yard), w.slots(j, h))
 		for ; k > 0; k-- {
 			w.Bind(j, j.Waiting[0], h, w.NextTry())
 			left--
@@ -724,7 +725,7 @@
 	inYard := map[string]int{}
 	for _, c := range cs {
 		h := c.r.h
-		for k := min(j.Need.Count(c.r.usable(a), j.Pieces-len(hosts)), w.slots(h)); k > 0 && inYard[h.Yard] < j.PerYard(); k-- {
+		for k := min(j.Need.Count(c.r.usable(a), j.Pieces-len(hosts)), w.slots(j, h)); k > 0 && inYard[h.Yard] < j.PerYard(); k-- {
 			hosts = append(hosts, h)
 			inYard[h.Yard]++
 			cost = max(cost, c.cost)
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -44,7 +44,7 @@
 		really := r.free()
 		fetch, paid := model.Micros(-1), w.paid[j][h]
 		var cores, stranded model.Milli // what this job would take, and the GPUs idle beside it
-		for nth := range min(n, w.slots(h)) {
+		for nth := range min(n, w.slots(j, h)) {
 			o := option{r: r, nth: nth, now: j.Need.Fits(really)}
 			really = really.Minus(j.Need)
 			for len(victims) > 0 && !j.Need.Fits(free) {
@@ -206,7 +206,7 @@
 			return cmp.Or(cmp.Compare(w.Left(a), w.Left(b)), cmp.Compare(a.Try, b.Try))
 		})
 		free, at := r.free(), model.Micros(0)
-		for range min(j.Pieces, w.slots(h)) {
+		for range min(j.Pieces, w.slots(j, h)) {
 			for len(ends) > 0 && !j.Need.Fits(free) {
 				free, at = free.Plus(ends[0].Job.Need), w.Left(ends[0])
 				ends = ends[1:]
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -47,13 +47,30 @@
 // half are the leader's, the others share the rest. As long as nothing is
 // refused, each may take a third.
 func (c *controller) writeShare(leads bool) (share, most float64) {
-	all := c.set.Params.State.WriteRPS
+	all := c.limits.WriteRPS
 	if leads || len(c.set.Siblings) == 0 {
 		return all / 2, all / 2
 	}
 	return all / 2 / float64(len(c.set.Siblings)), all / 3
 }
 
+// maxValue is how many bytes a value may have at most.
+func (c *controller) maxValue() int { return int(c.limits.ValueKB * 960) }
+
+// fits tells whether a record can be written.
+func (c *controller) fits(rec any) bool {
+	raw, err := json.Marshal(rec)
+	return err == nil && len(raw) <= c.maxValue()
+}
+
+// tighten makes what is written smaller, after the state service has refused as too
+// large what the settings allow.
+func (c *controller) tighten(err error) {
+	c.limits.TxnOps = max(2, c.limits.TxnOps/2)
+	c.limits.ValueKB = max(1, c.limits.ValueKB/2)
+	slog.Error("the state service bears less than the settings say", "err", err, "txn_ops", c.limits.TxnOps, "value_kb", c.limits.ValueKB)
+}
+
 // held is a response to a worker that waits for bindings to become durable.
 type held struct {
 	msg   msgCheckin
@@ -70,6 +87,7 @@
 	now   model.Micros
 	wall  func() int64 // time of day, ms
 
+	limits   config.Limits // of the state service
 	teams    map[string]*model.Team
 	auth     lead.Authority
 	session  uint64
@@ -107,8 +125,9 @@
 	// Catch-ups of all controllers together take at most so much of what the state
 	// service bears; transactions and sessions need the rest.
 	nodes := len(set.Siblings) + 1
-	gap := model.Seconds(float64(nodes) / (syncShare * set.Params.State.RPS))
-	c := &controller{set: set, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
+	limits := set.StateLimits()
+	gap := model.Seconds(float64(nodes) / (syncShare * limits.RPS))
+	c := &controller{set: set, limits: limits, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
 		syncGap: max(syncLeast, gap), seen: map[string]model.Micros{}, view: state.NewView(), wantList: true,
 		wall: func() int64 { return time.Now().UnixMilli() }}
 	c.budget = state.NewBudget(c.writeShare(false))
@@ -219,9 +238,13 @@
 		return
 	}
 	grant := "grant/" + theBlock
+	rec := state.GrantRecord{Holder: c.set.NodeName, Session: c.session, Credit: c.credit()}
+	if !c.fits(rec) {
+		rec.Credit = nil // which is the whole of every team's limit, too
+	}
 	t := &state.Txn{
 		Guards: []state.Guard{{Path: "leader", Stamp: c.view.Stamps["leader"]}, {Path: grant, Stamp: c.view.Stamps[grant]}},
-		Then:   []state.Op{{Set: grant, Value: state.GrantRecord{Holder: c.set.NodeName, Session: c.session, Credit: c.credit()}}}}
+		Then:   []state.Op{{Set: grant, Value: rec}}}
 	if !ours {
 		t.Then = append(t.Then, state.Op{Set: "leader", Value: state.LeaderRecord{Node: c.set.NodeName, Session: c.session}, Tenancy: c.session})
 	}
@@ -327,6 +350,7 @@
 	}
 	if m.view != nil {
 		c.view, c.loaded, c.wantList = m.view, true, false
+		c.view.TakeNews() // everything is told
 		if c.leading != nil {
 			c.leading.reload()
 		}
@@ -358,12 +382,25 @@
 	if set, err := c.view.Set(e.Set, e.Value, e.Stamp); !set || err != nil {
 		return err
 	}
-	if ref, ok := strings.CutPrefix(e.Set, jobPrefix); ok && c.leading != nil && c.leading.ready {
-		c.leading.jobNews(ref)
+	if ref, ok := strings.CutPrefix(e.Set, jobPrefix); ok {
+		c.jobNews(ref)
 	}
 	return nil
 }
 
+// jobNews tells the holder what the view says of a job, and of those for which that
+// made a difference.
+func (c *controller) jobNews(ref string) {
+	others := c.view.TakeNews()
+	if c.leading == nil || !c.leading.ready {
+		return
+	}
+	c.leading.jobNews(ref)
+	for _, o := range others {
+		c.leading.jobNews(o)
+	}
+}
+
 const jobPrefix = "job/"
 
 // --- when the state service is not reached
@@ -532,6 +569,42 @@
 		c.refuseUnknown(m, 422, why)
 		return
 	}
+	if !c.fits(block.JobRecord{Spec: m.sub, End: state.Withdrawn}) {
+		c.refuseUnknown(m, 422, "too large")
+		return
+	}
+	if why := c.cantAwait(m.sub); why != "" {
+		// Another controller may have accepted it a moment ago.
+		c.caughtUp(m.reply, func() {
+			if why := c.cantAwait(m.sub); why != "" {
+				c.refuseUnknown(m, 422, why)
+				return
+			}
+			c.enqueue(m)
+		})
+		return
+	}
+	c.enqueue(m)
+}
+
+// cantAwait tells why a submission can't wait for what it names, or "".
+func (c *controller) cantAwait(sub *model.Submission) string {
+	for _, a := range sub.Awaits {
+		j := c.view.Jobs[a]
+		switch {
+		case a == sub.Ref:
+			return "awaits itself"
+		case !c.view.Known(a):
+			return "awaits " + a + ", which was never accepted"
+		case j.Sub != nil && j.Sub.Shape == "service":
+			return "awaits " + a + ", a service"
+		}
+	}
+	return ""
+}
+
+// enqueue has an acceptance made durable.
+func (c *controller) enqueue(m msgSubmit) {
 	if len(c.users) >= c.maxUserQueue() {
 		m.reply <- userapi.Error(429, "too many submissions", 2)
 		return
@@ -594,7 +667,7 @@
 	if lane < laneUsers || c.now < c.pauses[laneUsers] {
 		return
 	}
-	n := min(len(c.users), c.set.Params.State.TxnOps, c.budget.Left(c.now))
+	n := min(len(c.users), c.limits.TxnOps, c.budget.Left(c.now))
 	if n <= 0 {
 		return
 	}
@@ -607,14 +680,13 @@
 		var bytes int
 		if u.sub != nil {
 			raw, err := json.Marshal(u.sub)
-			if err != nil || len(raw) > int(c.set.Params.State.ValueKB*1000) {
-				u.answer(userapi.Error(400, "too large", 0))
+			if err != nil {
+				u.answer(userapi.Error(400, err.Error(), 0))
 				continue
 			}
 			bytes, value = len(raw), block.JobRecord{Spec: u.sub}
 		} else {
-			j := c.view.Jobs[u.ref]
-			bytes, value = 600, block.JobRecord{Spec: j.Sub, End: "withdrawn"}
+			bytes, value = 600, c.withdrawn(c.view.Jobs[u.ref].Sub)
 		}
 		if len(batch) == n || size+bytes > 40_000 || taken[u.ref] {
 			rest = append(rest, c.users[i])
@@ -638,6 +710,19 @@
 	c.send(lane, msgCommitted{txn: t, users: batch})
 }
 
+// withdrawn is the record of a withdrawn job. What is kept of the submission has to
+// fit, even if a larger one could be written when it was accepted: what counts is
+// what may still be on machines.
+func (c *controller) withdrawn(sub *model.Submission) block.JobRecord {
+	rec := block.JobRecord{Spec: sub, End: state.Withdrawn}
+	if !c.fits(rec) {
+		slim := *sub
+		slim.Class, slim.Bundle, slim.Builds, slim.Awaits = "-", "-", nil, nil
+		rec.Spec = &slim
+	}
+	return rec
+}
+
 func (u *userWrite) answer(a userapi.Answer) {
 	for _, r := range u.reply {
 		r <- a
@@ -651,6 +736,9 @@
 		c.budget.Drain(c.now)
 		c.pauses[laneUsers] = c.now + 100*model.Millisecond
 		c.users = append(m.users, c.users...)
+	case errors.Is(m.err, state.ErrTooBig):
+		c.tighten(m.err)
+		c.users = append(m.users, c.users...)
 	case m.err != nil:
 		c.pauses[laneUsers] = c.now + 100*model.Millisecond
 		for i := range m.users {
@@ -665,9 +753,7 @@
 			} else {
 				u.answer(userapi.Accepted(200, u.ref, "withdrawn"))
 			}
-			if c.leading != nil && c.leading.ready {
-				c.leading.jobNews(u.ref)
-			}
+			c.jobNews(u.ref)
 		}
 	default:
 		failed := map[string]bool{}
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -352,7 +352,7 @@
 	w.check()
 	done := 0
 	for _, u := range us {
-		s := model.SetOf(w.nodes[0].ctl.view.Jobs[u.sub.Ref].Done)
+		s := w.nodes[0].ctl.view.Done(u.sub.Ref)
 		done += s.Len()
 	}
 	if done < 1500 {
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -44,10 +44,6 @@
 	return model.Micros(float64(took) / (part * cores))
 }
 
-// bytesPerPiece is what a bound piece takes in its host's record at most; a
-// record takes at most half of a bundle.
-const bytesPerPiece = 128
-
 // leadership is what a controller has only while it leads. It is part of the
 // controller actor.
 type leadership struct {
@@ -92,7 +88,7 @@
 	c := l.c
 	w := c.set.Params.Workers
 	l.h = block.New(block.Params{Teams: c.teams, Report: model.Seconds(w.ReportS), Lease: model.Seconds(w.LeaseS),
-		GangWait: model.Seconds(w.GangWaitS), Margin: model.Second, MaxBound: int(c.set.Params.State.ValueKB * 1000 / bytesPerPiece), MaxValue: int(c.set.Params.State.ValueKB * 900),
+		GangWait: model.Seconds(w.GangWaitS), Margin: model.Second, MaxValue: c.maxValue(),
 		Waits: c.set.Waits(), Finish: c.set.Finish(), Deadlines: c.set.Deadlines(), Guarantee: c.set.Guarantee()}, l.token)
 	l.h.Log = logEvent
 	l.h.SetFlavors(c.view.Flavors)
@@ -137,17 +133,20 @@
 	if j == nil {
 		return
 	}
-	if l.h.Jobs[ref] != nil {
+	if js := l.h.Jobs[ref]; js != nil {
 		if j.End != "" {
 			l.h.EndJob(ref, j.End, l.c.now)
+		} else {
+			js.Rank, js.Due = j.Standing()
 		}
 		return
 	}
-	if j.Sub == nil {
+	if j.Sub == nil || !j.Ready() || j.End != "" && l.ready {
+		// Of what is done nothing is on any machine, nor of what has not begun.
 		return
 	}
-	age := model.Micros(max(0, l.c.wall()-j.Sub.AtMs)) * model.Millisecond
-	l.h.AddJob(j.Sub.Job(j.Stamp), model.SetOf(j.Done), j.End, l.c.now, age)
+	age := model.Micros(max(0, l.c.wall()-j.ReadyMs())) * model.Millisecond
+	l.h.AddJob(j.Job(), l.c.view.Done(ref), j.End, l.c.now, age)
 	l.loopSoon = true
 }
 
@@ -193,7 +192,7 @@
 	if c.busy[laneHolder] || l.resync || c.now < c.pauses[laneHolder] || l.h.Queued() == 0 {
 		return
 	}
-	n := min(c.set.Params.State.TxnOps, c.budget.Left(c.now))
+	n := min(c.limits.TxnOps, c.budget.Left(c.now))
 	if n < 1 {
 		return
 	}
@@ -201,6 +200,12 @@
 	if len(ws) == 0 {
 		return
 	}
+	for i := range ws {
+		if end, ok := ws[i].Value.(block.JobRecord); ok {
+			end.AtMs = c.wall()
+			ws[i].Value = end
+		}
+	}
 	t := holderTxn(theBlock, ws, c.view.Stamps, state.Guard{Path: "grant/" + theBlock, Stamp: l.token})
 	c.send(laneHolder, msgCommitted{txn: t, writes: ws, token: l.token})
 }
@@ -222,7 +227,13 @@
 	switch {
 	case m.err != nil:
 		slog.Debug("commit", "err", m.err)
-		l.h.Retry(m.writes)
+		if errors.Is(m.err, state.ErrTooBig) {
+			c.tighten(m.err)
+			l.h.P.MaxValue = c.maxValue()
+			l.h.Recut(m.writes)
+		} else {
+			l.h.Retry(m.writes, !state.NotDone(m.err))
+		}
 		if errors.Is(m.err, state.ErrBusy) {
 			c.budget.Drain(c.now)
 		} else {
@@ -241,7 +252,7 @@
 			c.stepDown("the grant is not ours any more")
 			return
 		}
-		l.h.Retry(m.writes)
+		l.h.Retry(m.writes, false)
 		l.needSync()
 	}
 }
@@ -349,8 +360,14 @@
 		same = same && m.builds[i].Label == c.view.Flavors[i].Label && m.builds[i].Size() == c.view.Flavors[i].Size()
 	}
 	if !same && !c.busy[laneMisc] {
+		// As many as a value bears: with some of them it can be told of most
+		// submissions, after an outage of the cloud, that they can run.
+		rec := state.FlavorsRecord{Builds: m.builds}
+		for len(rec.Builds) > 0 && !c.fits(rec) {
+			rec.Builds = rec.Builds[:len(rec.Builds)-1]
+		}
 		t := &state.Txn{Guards: []state.Guard{{Path: "leader", Stamp: c.view.Stamps["leader"]}, {Path: "flavors", Stamp: c.view.Stamps["flavors"]}},
-			Then: []state.Op{{Set: "flavors", Value: state.FlavorsRecord{Builds: m.builds}}}}
+			Then: []state.Op{{Set: "flavors", Value: rec}}}
 		c.send(laneMisc, msgCommitted{txn: t, token: l.token})
 	}
 	if l.ready {
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/url"
 	"strconv"
+	"strings"
 
 	"woadweir/internal/core/model"
 	"woadweir/internal/jsonhttp"
@@ -20,9 +21,16 @@
 	ErrLost    = errors.New("state service: no response")       // may have been, or may yet be executed
 	ErrTooOld  = errors.New("state service: revision too old")  // 410
 	ErrNoLease = errors.New("state service: no such lease")
+	ErrTooBig  = errors.New("state service: value or transaction beyond its limits") // 400: not executed
 	ErrMissing = errors.New("state service: not found")
 )
 
+// NotDone tells of an error that the request was surely not carried out, and will
+// not be.
+func NotDone(err error) bool {
+	return errors.Is(err, ErrBusy) || errors.Is(err, ErrRefused) || errors.Is(err, ErrTooBig) || errors.Is(err, ErrNoLease)
+}
+
 // Guard is a condition of a transaction.
 type Guard struct {
 	Path  string `json:"path"`
@@ -47,6 +55,7 @@
 type Result struct {
 	Epoch  uint64   `json:"epoch"`
 	Failed []string `json:"failed"`
+	Error  string   `json:"error"`
 	OK     bool     `json:"-"`
 }
 
@@ -87,7 +96,7 @@
 			return ErrBusy
 		case code == 503:
 			return ErrRefused
-		case out != nil && (code == 200 || code == 409):
+		case out != nil && (code == 200 || code == 400 || code == 409):
 			if err := json.Unmarshal(body, out); err != nil {
 				return fmt.Errorf("%w: %v", ErrLost, err)
 			}
@@ -180,8 +189,10 @@
 		return &r, nil
 	case code == 409:
 		return &r, nil
-	case code == 400:
+	case code == 400 && strings.Contains(r.Error, "no such lease"):
 		return nil, ErrNoLease
+	case code == 400:
+		return nil, fmt.Errorf("%w: %s", ErrTooBig, r.Error)
 	}
 	return nil, unexpected(code)
 }
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -41,11 +41,9 @@
 type JobView struct {
 	Sub       *model.Submission // nil once it is done
 	Stamp     uint64            // of its acceptance
-	Done      []byte
-	End       string
+	End       string            // as it is written; see Final
 	EndPieces int
-
-	doneAt string // the bundle that Done is from
+	pipeline
 }
 
 // bundleView is what the view knows of a bundle.
@@ -54,10 +52,15 @@
 	names []string
 }
 
-// hostView is the latest record of a machine, nil if it is gone.
-type hostView struct {
-	rec *block.HostRecord
-	at  string // the bundle that it is from
+// entryView is the latest version of a bundle's entry: the record of a machine,
+// nil if it is gone, or the finished tasks of a job.
+type entryView struct {
+	host *block.HostRecord
+	done []byte
+	at   string // the bundle that it is from
+	// twin is another bundle with the same version, written in the same
+	// transaction: if one drops it, it still stands in the other.
+	twin string
 }
 
 // View is a copy of the state as of Epoch, or newer for single keys.
@@ -69,15 +72,16 @@
 	Grants  map[string]*GrantRecord
 	Flavors []model.Flavor
 
-	hosts   map[string]*hostView
-	bound   map[string]int // bound pieces by job
+	entries map[string]*entryView // by name, see block.BundleRecord.Names
+	bound   map[string]int        // bound pieces by job
 	bundles map[string]*bundleView
+	news    []string // jobs whose standing changed through others
 }
 
 // NewView makes an empty view.
 func NewView() *View {
 	return &View{Stamps: map[string]uint64{}, Jobs: map[string]*JobView{}, Grants: map[string]*GrantRecord{},
-		hosts: map[string]*hostView{}, bound: map[string]int{}, bundles: map[string]*bundleView{}}
+		entries: map[string]*entryView{}, bound: map[string]int{}, bundles: map[string]*bundleView{}}
 }
 
 func (v *View) job(ref string) *JobView {
@@ -167,61 +171,90 @@
 
 // Hosts calls f for the latest record of every machine.
 func (v *View) Hosts(f func(ref string, rec *block.HostRecord)) {
-	for ref, h := range v.hosts {
-		if h.rec != nil {
-			f(ref, h.rec)
+	for name, e := range v.entries {
+		if e.host != nil {
+			f(strings.TrimPrefix(name, block.HostEntry), e.host)
+		}
+	}
+}
+
+// Done is the set of a job's finished tasks: of all its parts, if it is stored in
+// several, and of a whole that has not been replaced by all of them yet.
+func (v *View) Done(ref string) model.Set {
+	var s model.Set
+	j := v.Jobs[ref]
+	if j == nil || j.Sub == nil {
+		return s
+	}
+	if e := v.entries[block.DoneEntry+ref]; e != nil {
+		s = model.SetOf(e.done)
+	}
+	if j.Sub.Pieces > model.PartPieces {
+		for k := range model.Parts(j.Sub.Pieces) {
+			if e := v.entries[block.PartEntry(ref, k)]; e != nil {
+				s.Merge(e.done, k*model.PartPieces)
+			}
 		}
 	}
+	return s
 }
 
-// newer tells whether a bundle written at that stamp overrides the one at path.
-func (v *View) newer(path string, stamp uint64) bool {
-	b := v.bundles[path]
-	return b == nil || stamp >= b.stamp
+// put takes an entry of a bundle, unless a newer version of it is known.
+func (v *View) put(name string, e entryView, stamp uint64) {
+	if old := v.entries[name]; old != nil && old.at != e.at {
+		if b := v.bundles[old.at]; b != nil && b.stamp >= stamp {
+			if b.stamp > stamp {
+				return
+			}
+			e.twin = old.at
+		}
+	}
+	v.count(name, -1)
+	v.entries[name] = &e
+	v.count(name, 1)
 }
 
-func (v *View) setHost(ref string, rec *block.HostRecord, path string) {
-	v.countHost(ref, -1)
-	v.hosts[ref] = &hostView{rec, path}
-	v.countHost(ref, 1)
+// drop takes note that an entry stands in a bundle no more.
+func (v *View) drop(name, path string) {
+	switch e := v.entries[name]; {
+	case e == nil:
+	case e.twin == path:
+		e.twin = ""
+	case e.at == path && e.twin != "":
+		e.at, e.twin = e.twin, ""
+	case e.at == path:
+		v.count(name, -1)
+		delete(v.entries, name)
+	}
 }
 
 // putBundle applies a bundle. What stood only in its former version is gone.
 func (v *View) putBundle(path string, r *block.BundleRecord, stamp uint64) {
 	for ref, rec := range r.Hosts {
-		if h := v.hosts[ref]; h == nil || h.at == path || v.newer(h.at, stamp) {
-			v.setHost(ref, rec, path)
-		}
+		v.put(block.HostEntry+ref, entryView{host: rec, at: path}, stamp)
 	}
-	for ref, bits := range r.Done {
-		if j := v.job(ref); j.End == "" && (j.doneAt == "" || j.doneAt == path || v.newer(j.doneAt, stamp)) {
-			j.Done, j.doneAt = bits, path
+	for name, bits := range r.Done {
+		ref, _, _ := strings.Cut(name, block.PartMark)
+		if j := v.Jobs[ref]; j == nil || j.End == "" {
+			v.put(block.DoneEntry+name, entryView{done: bits, at: path}, stamp)
 		}
 	}
 	if old := v.bundles[path]; old != nil {
-		for _, e := range old.names {
-			kind, ref, _ := strings.Cut(e, "/")
-			if kind == "host" {
-				if _, ok := r.Hosts[ref]; !ok && v.hosts[ref] != nil && v.hosts[ref].at == path {
-					v.countHost(ref, -1)
-					delete(v.hosts, ref)
-				}
-			} else if _, ok := r.Done[ref]; !ok {
-				if j := v.Jobs[ref]; j != nil && j.doneAt == path {
-					j.Done, j.doneAt = nil, ""
-				}
+		for _, name := range old.names {
+			if !r.Has(name) {
+				v.drop(name, path)
 			}
 		}
 	}
 	v.bundles[path] = &bundleView{stamp, r.Names()}
 }
 
-func (v *View) countHost(ref string, sign int) {
-	h := v.hosts[ref]
-	if h == nil || h.rec == nil {
+func (v *View) count(name string, sign int) {
+	e := v.entries[name]
+	if e == nil || e.host == nil {
 		return
 	}
-	for job, ps := range h.rec.Pieces {
+	for job, ps := range e.host.Pieces {
 		if v.bound[job] += sign * len(ps); v.bound[job] == 0 {
 			delete(v.bound, job)
 		}
@@ -241,31 +274,40 @@
 	return true
 }
 
+// Known tells whether a job was accepted.
+func (v *View) Known(ref string) bool {
+	j := v.Jobs[ref]
+	return j != nil && (j.Sub != nil || j.End != "")
+}
+
 // Status is the answer to a poll for a job, as far as the view goes.
 func (v *View) Status(ref string) (status string, done, running int, known bool) {
-	j := v.Jobs[ref]
-	switch {
-	case j == nil || j.Sub == nil && j.End == "":
+	if !v.Known(ref) {
 		return "", 0, 0, false
-	case j.End == "done":
-		return "done", j.EndPieces, 0, true
-	case j.End != "":
-		return j.End, 0, 0, true
 	}
-	s := model.SetOf(j.Done)
+	if end, ok := v.Final(ref); ok {
+		return end, v.Jobs[ref].EndPieces, 0, true
+	}
+	s := v.Done(ref)
 	if n := v.bound[ref]; n > 0 {
 		return "running", s.Len(), n, true
 	}
 	return "pending", s.Len(), 0, true
 }
 
-// Final tells a job's end if it is known.
+// Final tells a job's end if it is known: what is written, or follows from it, as
+// a job that needs a withdrawn one is withdrawn.
 func (v *View) Final(ref string) (string, bool) {
 	j := v.Jobs[ref]
-	if j == nil || j.End == "" {
+	switch {
+	case j == nil:
 		return "", false
+	case j.End != "":
+		return j.End, true
+	case j.fallen && j.Sub != nil:
+		return Withdrawn, true
 	}
-	return j.End, true
+	return "", false
 }
 
 // Put applies a value, unless a newer one is known.
@@ -277,11 +319,30 @@
 	switch x := value.(type) {
 	case block.JobRecord:
 		j := v.job(rest)
+		fresh := j.Sub == nil && j.End == ""
 		j.Sub = x.Spec
 		if x.End == "" {
 			j.Stamp = stamp
 		} else {
-			j.End, j.EndPieces, j.Done, j.doneAt = x.End, x.Pieces, nil, ""
+			j.End, j.endMs = x.End, x.AtMs
+			if x.End == Done {
+				j.EndPieces = x.Pieces
+			}
+			delete(v.entries, block.DoneEntry+rest)
+			if x.Spec != nil {
+				x.Pieces = x.Spec.Pieces
+			}
+			if x.Pieces > model.PartPieces {
+				for k := range model.Parts(x.Pieces) {
+					delete(v.entries, block.PartEntry(rest, k))
+				}
+			}
+		}
+		if fresh && x.Spec != nil {
+			v.link(rest, j)
+		}
+		if x.End != "" {
+			v.ended(j, stamp)
 		}
 	case block.BundleRecord:
 		v.putBundle(path, &x, stamp)
