--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -198,6 +198,7 @@
 // step does what is due.
 func (c *controller) step() {
 	c.now = c.clock()
+	c.passOn()
 	c.startSync()
 	c.startPing()
 	c.elect()
@@ -388,16 +389,19 @@
 	return nil
 }
 
-// jobNews tells the holder what the view says of a job, and of those for which that
-// made a difference.
+// jobNews tells the holder what the view says of a job.
 func (c *controller) jobNews(ref string) {
-	others := c.view.TakeNews()
-	if c.leading == nil || !c.leading.ready {
-		return
+	if c.leading != nil && c.leading.ready {
+		c.leading.jobNews(ref)
 	}
-	c.leading.jobNews(ref)
-	for _, o := range others {
-		c.leading.jobNews(o)
+}
+
+// passOn tells the holder of jobs whose standing changed through others: an end may
+// come with a catch-up or with our own transactions, and what waits for it may be
+// all that is left to do.
+func (c *controller) passOn() {
+	for _, ref := range c.view.TakeNews() {
+		c.jobNews(ref)
 	}
 }
 
