--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -79,6 +79,30 @@
 	}
 }
 
+// Of the limits now and next the smaller ones are kept, whichever they are.
+func TestNextLimits(t *testing.T) {
+	s, err := Parse([]byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := s.StateLimits(); l != (Limits{RPS: 120, WriteRPS: 40, ValueKB: 32, TxnOps: 24}) {
+		t.Errorf("without any to come: %+v", l)
+	}
+	s, err = Parse([]byte(good + "[params.state.next]\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 48\nother = 1\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l := s.StateLimits(); l != (Limits{RPS: 120, WriteRPS: 28, ValueKB: 2, TxnOps: 24}) {
+		t.Errorf("with some to come: %+v", l)
+	}
+	for field, value := range map[string]string{"rps": "0.0", "write_rps": "-1.0", "value_kb": "0.5", "txn_ops": "1"} {
+		_, err := Parse([]byte(good + "[params.state.next]\n" + field + " = " + value + "\n"))
+		if err == nil || !strings.Contains(err.Error(), "params.state.next."+field) {
+			t.Errorf("%s = %s: %v, want the field named", field, value, err)
+		}
+	}
+}
+
 func TestBadSettingsNameTheField(t *testing.T) {
 	for old, c := range map[string][2]string{
 		`serve_on = "10.0.0.1:8080"`: {`serve_on = "here"`, "serve_on"},
--- a/internal/core/model/model_test.go
+++ b/internal/core/model/model_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"flag"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -40,6 +41,12 @@
 			t.Errorf("taken with %s", with)
 		}
 	}
+	for awaits, want := range map[string][]string{`["j-1","j-2","j-1"]`: {"j-1", "j-2"}, `[]`: {}, `null`: nil, `"j-1"`: nil, `["1"]`: nil, `["j-1",null]`: nil, `[7]`: nil} {
+		s, _, err := ParseSubmission([]byte(strings.Replace(body, `"pieces"`, `"awaits":`+awaits+`,"pieces"`, 1)))
+		if bad := want == nil && awaits != "null"; bad != (err != nil) || !bad && !slices.Equal(s.Awaits, want) {
+			t.Errorf("awaits %s: %v", awaits, err)
+		}
+	}
 	for _, b := range []string{``, `[]`, `null`, `{`, `"x"`} {
 		if _, _, err := ParseSubmission([]byte(b)); err == nil {
 			t.Errorf("%q is taken", b)
--- /dev/null
+++ b/internal/node/awaits_test.go
@@ -0,0 +1,257 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"woadweir/internal/core/model"
+	"woadweir/internal/userapi"
+)
+
+// answerOf asks one node, and waits for its answer.
+func (n *simNode) answerOf(msg func(chan<- userapi.Answer) any) userapi.Answer {
+	n.w.t.Helper()
+	reply := make(chan userapi.Answer, 1)
+	n.ask(msg(reply), nil)
+	n.w.until(10*model.Second, "an answer", func() bool { return len(reply) == 1 })
+	return <-reply
+}
+
+func (n *simNode) submits(s *model.Submission) userapi.Answer {
+	return n.answerOf(func(r chan<- userapi.Answer) any { c := *s; return msgSubmit{c.Ref, &c, nil, r} })
+}
+
+func (n *simNode) statusOf(t *testing.T, ref string) string {
+	t.Helper()
+	var a userapi.Answer
+	n.w.until(10*model.Second, "an answer about "+ref, func() bool {
+		a = n.answerOf(func(r chan<- userapi.Answer) any { return msgPoll{ref, r} })
+		return a.Code != 503 // now and then a catch-up is lost
+	})
+	var body struct{ Status string }
+	if a.Code != 200 || json.Unmarshal(a.Body, &body) != nil {
+		t.Fatalf("%s is answered %d %s", ref, a.Code, a.Body)
+	}
+	return body.Status
+}
+
+func awaiting(i int, refs ...string) *model.Submission {
+	s := sweepJob(i, 2, 5)
+	s.Awaits = refs
+	return s
+}
+
+// What names a job that was never accepted is refused, but only on a view that is
+// up to date: another node may have accepted it a moment ago.
+func TestAwaitsWhatWasAccepted(t *testing.T) {
+	w := newWorld(t, 61)
+	w.led(10 * model.Second)
+	w.Run(w.Now + 3*model.Second)
+	service := sweepJob(2, 1, 0)
+	service.Shape = "service"
+	for i, s := range []*model.Submission{sweepJob(0, 2, 200), service} {
+		if a := w.nodes[i].submits(s); a.Code != 201 {
+			t.Fatalf("%d %s", a.Code, a.Body)
+		}
+	}
+	// The third node has not heard of them yet.
+	first, other := awaiting(3, "j-000000"), awaiting(4, "j-000000", "j-000003")
+	if a := w.nodes[2].submits(first); a.Code != 201 {
+		t.Errorf("of a job that another node accepted: %d %s", a.Code, a.Body)
+	}
+	if a := w.nodes[1].submits(other); a.Code != 201 {
+		t.Errorf("of two jobs: %d %s", a.Code, a.Body)
+	}
+	for i, refs := range [][]string{{"j-999999"}, {"j-000000", "j-999999"}, {"j-000009"}, {"j-000002"}} {
+		if a := w.nodes[i%3].submits(awaiting(9, refs...)); a.Code != 422 {
+			t.Errorf("awaits %v: %d %s", refs, a.Code, a.Body)
+		}
+	}
+	// Whoever was accepted is told so again, whatever the repetition says.
+	again := awaiting(3, "j-999999")
+	if a := w.nodes[0].submits(again); a.Code != 200 || !strings.Contains(string(a.Body), "pending") {
+		t.Errorf("a repeated submission: %d %s", a.Code, a.Body)
+	}
+	// While the state service is away nothing can be said of what is not known.
+	w.state.SetOutage(true)
+	w.Run(w.Now + 2*model.Second)
+	if a := w.nodes[0].submits(awaiting(10, "j-999999")); a.Code != 503 || a.RetryAfter == 0 {
+		t.Errorf("during an outage: %d %s", a.Code, a.Body)
+	}
+}
+
+// A job whose record can't fit into a value, now or once the limits have fallen, is
+// refused; a list that fits is not.
+func TestManyAwaits(t *testing.T) {
+	w := newDeployment(t, 62, nextSettings, capacity(4, 2))
+	w.led(10 * model.Second)
+	w.Run(w.Now + 3*model.Second)
+	var refs []string
+	for i := range 100 {
+		s := sweepJob(i, 1, 1)
+		refs = append(refs, s.Ref)
+		n := w.nodes[i%3]
+		w.until(30*model.Second, "accepted", func() bool { return n.submits(s).Code/100 == 2 })
+	}
+	if a := w.nodes[0].submits(awaiting(200, refs...)); a.Code != 201 {
+		t.Errorf("awaits 100: %d %s", a.Code, a.Body)
+	}
+	long := awaiting(201, refs...)
+	long.Bundle = strings.Repeat("x", 900)
+	if a := w.nodes[0].submits(long); a.Code != 422 {
+		t.Errorf("too large: %d %s", a.Code, a.Body)
+	}
+}
+
+// When a job is cancelled, so is all that needs it, on every node at once: there is
+// nothing to be written for it, however many there are and however little the
+// state service bears. What was submitted at the same moment through another node
+// is no exception, nor what comes later. What is done stays done.
+func TestCancellationTakesWhatComesAfter(t *testing.T) {
+	w := newDeployment(t, 63, nextSettings, capacity(4, 2))
+	w.led(10 * model.Second)
+	w.Run(w.Now + 3*model.Second)
+	accept := func(s *model.Submission) {
+		w.rules.Subs[s.Ref], w.rules.Awaits[s.Ref] = s.Job(0), s.Awaits
+		w.until(60*model.Second, "accepted", func() bool { return w.nodes[w.Rng.IntN(3)].submits(s).Code/100 == 2 })
+	}
+	before, first := sweepJob(0, 1, 1), sweepJob(1, 4, 300)
+	accept(before)
+	first.Awaits = []string{before.Ref}
+	accept(first)
+	last := first.Ref
+	for i := 10; i < 60; i++ { // a chain, and a fan beside it
+		accept(awaiting(i, last))
+		accept(awaiting(100+i, first.Ref))
+		last = awaiting(i).Ref
+	}
+	w.until(60*model.Second, "the first runs", func() bool { return w.nodes[0].statusOf(t, first.Ref) == "running" })
+	w.state.Fall(2, 5, 3)
+	u := &user{w: w, sub: first}
+	w.rules.Ask(first.Ref)
+	late := awaiting(500, first.Ref)
+	w.rules.Subs[late.Ref], w.rules.Awaits[late.Ref] = late.Job(0), late.Awaits
+	lateTold := make(chan userapi.Answer, 1)
+	w.nodes[1].ask(msgSubmit{late.Ref, late, nil, lateTold}, nil)
+	u.withdraw()
+	w.until(10*model.Second, "it is cancelled", func() bool { return w.rules.Ended(first.Ref) == "withdrawn" })
+	w.led(30 * model.Second)
+	w.leader().crash() // and nobody is left to write anything about it
+	for _, n := range w.nodes {
+		if !n.alive {
+			continue
+		}
+		for i := 10; i < 60; i++ {
+			for _, ref := range []string{awaiting(i).Ref, awaiting(100 + i).Ref} {
+				if s := n.statusOf(t, ref); s != "withdrawn" {
+					t.Fatalf("%s says that %s is %s", n.name, ref, s)
+				}
+			}
+		}
+	}
+	for _, n := range w.nodes {
+		if !n.alive {
+			n.start()
+		}
+	}
+	w.led(30 * model.Second)
+	w.until(20*model.Second, "the late one was answered", func() bool { return len(lateTold) == 1 })
+	if a := <-lateTold; a.Code == 201 {
+		if s := w.nodes[2].statusOf(t, late.Ref); s != "withdrawn" {
+			t.Errorf("what was submitted meanwhile is %s", s)
+		}
+	}
+	if a := w.nodes[0].submits(awaiting(501, last)); a.Code != 201 || w.nodes[2].statusOf(t, awaiting(501).Ref) != "withdrawn" {
+		t.Errorf("what names a withdrawn job: %d %s", a.Code, a.Body)
+	}
+	if s := w.nodes[0].statusOf(t, before.Ref); s != "done" {
+		t.Errorf("what was done before is %s", s)
+	}
+	w.Run(w.Now + 60*model.Second)
+	if w.check(); w.rules.OnMachine() != 0 {
+		t.Errorf("%d tasks are on machines", w.rules.OnMachine())
+	}
+}
+
+// A cancellation that is answered with done changes nothing for what comes after.
+func TestDoneWinsAgainstCancellation(t *testing.T) {
+	w := newWorld(t, 64)
+	us := w.pipeline(0, 0)
+	w.until(60*model.Second, "the first is done", func() bool { return us[0].ended == "done" })
+	a := w.nodes[1].answerOf(func(r chan<- userapi.Answer) any { return msgWithdraw{us[0].sub.Ref, r} })
+	if a.Code != 200 || !strings.Contains(string(a.Body), "done") {
+		t.Fatalf("%d %s", a.Code, a.Body)
+	}
+	w.until(120*model.Second, "all is done", func() bool {
+		return len(us) > 0 && !slices.ContainsFunc(w.refs(0), func(ref string) bool { return w.rules.Ended(ref) != "done" })
+	})
+	w.check()
+}
+
+// refs are the jobs of a pipeline.
+func (w *world) refs(first int) (refs []string) {
+	for i := range 4 {
+		refs = append(refs, fmt.Sprintf("j-%06d", first+i))
+	}
+	return refs
+}
+
+// A pipeline goes on over the end of all controllers, and when nothing else happens
+// that would remind the leader of what waits.
+func TestPipelineOverTakeovers(t *testing.T) {
+	w := newWorld(t, 65)
+	w.pipeline(0, 0)
+	for range 3 {
+		w.Run(w.Now + 12*model.Second)
+		for _, n := range w.nodes {
+			n.crash()
+			w.After(w.Between(50*model.Millisecond, 3*model.Second), n.start)
+		}
+	}
+	w.until(200*model.Second, "all is done", func() bool {
+		return !slices.ContainsFunc(w.refs(0), func(ref string) bool { return w.rules.Ended(ref) != "done" })
+	})
+	w.check()
+}
+
+// What waits for others takes no part of its team's limit, has nothing stopped and
+// rents nothing.
+func TestWaitingTakesNothing(t *testing.T) {
+	w := newWorld(t, 66)
+	w.led(10 * model.Second)
+	w.Run(w.Now + 3*model.Second)
+	first := sweepJob(0, 2, 60)
+	big := sweepJob(1, 20, 5) // the team's whole limit
+	big.Awaits, big.Rank = []string{first.Ref}, "critical"
+	w.submit(first, 0).then = func() { w.submit(big, 0) }
+	w.until(30*model.Second, "the first runs", func() bool { return w.rules.OnMachine() == 2 })
+	beside := w.submit(sweepJob(2, 16, 5), 0)
+	w.until(40*model.Second, "what came later is done", func() bool { return beside.ended == "done" })
+	if s := w.nodes[0].statusOf(t, big.Ref); s != "pending" {
+		t.Errorf("what waits is %s", s)
+	}
+	w.until(120*model.Second, "all is done", func() bool { return w.rules.Ended(big.Ref) == "done" })
+	w.check()
+}
+
+// The watch of the rules sees what it is there for.
+func TestRulesOfPipelinesCatchBreaches(t *testing.T) {
+	w := newWorld(t, 67)
+	w.led(10 * model.Second)
+	w.Run(w.Now + 3*model.Second)
+	broken := func(name string) bool {
+		return slices.ContainsFunc(w.rules.Broken, func(b string) bool { return strings.Contains(b, name) })
+	}
+	// The service is not told that the second awaits the first.
+	first, second := sweepJob(0, 2, 60), sweepJob(1, 2, 60)
+	w.submit(first, 0)
+	w.submit(second, 0)
+	w.rules.Awaits[second.Ref] = []string{first.Ref}
+	w.until(30*model.Second, "too_early", func() bool { return broken("too_early") })
+	w.rules.Ask(first.Ref)
+	(&user{w: w, sub: first}).withdraw()
+	w.until(60*model.Second, "orphaned", func() bool { return broken("orphaned") })
+}
--- /dev/null
+++ b/internal/node/upgrade_test.go
@@ -0,0 +1,400 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"woadweir/internal/config"
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/model"
+	"woadweir/internal/state"
+)
+
+// The records of the version in production, as it reads and writes them: fields
+// beyond these it drops, and at keys that it does not know it stops.
+type (
+	prodSubmission struct {
+		Ref       string   `json:"ref"`
+		Class     string   `json:"jobclass"`
+		Owner     string   `json:"owner"`
+		Shape     string   `json:"shape"`
+		Rank      string   `json:"rank"`
+		Pieces    int      `json:"pieces"`
+		Cores     float64  `json:"cores"`
+		GPUs      float64  `json:"gpus"`
+		MemoryGB  float64  `json:"memoryGb"`
+		Bundle    string   `json:"bundle"`
+		ImageGB   float64  `json:"imageGb"`
+		Builds    []string `json:"builds,omitempty"`
+		Yard      *string  `json:"yard,omitempty"`
+		SamePlace bool     `json:"samePlace,omitempty"`
+		Apart     bool     `json:"apart,omitempty"`
+		Loaners   bool     `json:"loaners,omitempty"`
+		GuessS    float64  `json:"guessS"`
+		KeepsakeS float64  `json:"keepsakeS"`
+		StowS     float64  `json:"stowS"`
+		DueS      *float64 `json:"dueS,omitempty"`
+		AtMs      int64    `json:"atMs,omitempty"`
+	}
+	prodJob struct {
+		Spec   *prodSubmission `json:"spec,omitempty"`
+		End    string          `json:"end,omitempty"`
+		Pieces int             `json:"pieces,omitempty"`
+	}
+	prodHost struct {
+		Build  string                 `json:"build"`
+		Yard   string                 `json:"yard"`
+		Spot   bool                   `json:"spot,omitempty"`
+		Pieces map[string][][2]uint64 `json:"pieces,omitempty"`
+	}
+	prodBundle struct {
+		Hosts map[string]*prodHost `json:"hosts,omitempty"`
+		Done  map[string][]byte    `json:"done,omitempty"`
+	}
+	prodLeader struct {
+		Node    string `json:"node"`
+		Session uint64 `json:"session"`
+	}
+	prodGrant struct {
+		Holder  string                `json:"holder"`
+		Session uint64                `json:"session"`
+		Credit  map[string]model.Need `json:"credit"`
+	}
+	prodFlavors struct {
+		Builds []model.Flavor `json:"builds"`
+	}
+)
+
+// asProduction is a record as production reads it, or writes it again.
+func asProduction(path string, value json.RawMessage) (json.RawMessage, error) {
+	var rec any
+	switch kind, rest, _ := strings.Cut(path, "/"); {
+	case kind == "job" && rest != "" && !strings.Contains(rest, "/"):
+		rec = new(prodJob)
+	case kind == "bound":
+		rec = new(prodBundle)
+	case kind == "leader":
+		rec = new(prodLeader)
+	case kind == "grant":
+		rec = new(prodGrant)
+	case kind == "flavors":
+		rec = new(prodFlavors)
+	case kind == "node":
+		return value, nil
+	default:
+		return nil, fmt.Errorf("%s: no such key", path)
+	}
+	if err := json.Unmarshal(value, rec); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	if j, ok := rec.(*prodJob); ok && j.Spec == nil && j.End == "" {
+		return nil, fmt.Errorf("%s is empty", path)
+	}
+	return json.Marshal(rec)
+}
+
+// reads is a value as this node's version reads it.
+func (n *simNode) reads(path string, value json.RawMessage) json.RawMessage {
+	if !n.old || path == "" {
+		return value
+	}
+	v, err := asProduction(path, value)
+	if err != nil {
+		panic("the version in production stops: " + err.Error())
+	}
+	return v
+}
+
+// writes is a transaction as this node's version writes it.
+func (n *simNode) writes(t *state.Txn) *state.Txn {
+	if !n.old {
+		return t
+	}
+	out := &state.Txn{Guards: t.Guards}
+	for _, op := range t.Then {
+		raw, err := json.Marshal(op.Value)
+		if err != nil {
+			panic(err)
+		}
+		op.Value = n.reads(op.Set, raw)
+		out.Then = append(out.Then, op)
+	}
+	return out
+}
+
+// nextSettings announce limits that are to fall far.
+func nextSettings(name string) *config.Settings {
+	s := simSettings(name)
+	kb, ops, rate := 2.0, 5, 18.0
+	n := &s.Params.State.Next
+	n.ValueKB, n.TxnOps, n.WriteRPS = &kb, &ops, &rate
+	return s
+}
+
+// replace ends a node and has it come back with the new version.
+func (n *simNode) replace() {
+	n.crash()
+	n.w.After(n.w.Between(100*model.Millisecond, 5*model.Second), func() {
+		n.old = false
+		if !n.alive {
+			n.start()
+		}
+	})
+}
+
+// upgrade replaces all nodes, one after the other, and then runs f.
+func (w *world) upgrade(at, every model.Micros, f func()) {
+	for i, n := range w.nodes {
+		w.At(at+model.Micros(i)*every, n.replace)
+	}
+	w.At(at+model.Micros(len(w.nodes))*every+6*model.Second, f)
+}
+
+// pipeline submits jobs one after another, each when those it awaits are accepted:
+// one first, some that await it, and a last one that awaits those and is due.
+func (w *world) pipeline(first int, cancelAfter model.Micros) (us []*user) {
+	chosen := w.Rng.IntN(4)
+	add := func(s *model.Submission, then func()) *user {
+		cancel := model.Micros(0)
+		if cancelAfter > 0 && s.Ref == sweepJob(first+chosen, 1, 1).Ref {
+			cancel = cancelAfter
+		}
+		u := w.submit(s, cancel)
+		u.then = then
+		us = append(us, u)
+		return u
+	}
+	a, b, c, last := sweepJob(first, 1+w.Rng.IntN(6), 4), sweepJob(first+1, 1+w.Rng.IntN(12), 6), gangJob(first+2, 1+w.Rng.IntN(3), 6), sweepJob(first+3, 2, 3)
+	a.Rank, b.Rank, c.Rank, last.Rank = "idle", "idle", "standard", "urgent"
+	due := 60.0
+	last.DueS = &due
+	b.Awaits, c.Awaits, last.Awaits = []string{a.Ref}, []string{a.Ref}, []string{b.Ref, c.Ref}
+	add(a, func() {
+		add(b, func() {
+			add(c, func() { add(last, nil) })
+		})
+	})
+	return us
+}
+
+// What production wrote is read, and means the same.
+func TestRecordsOfProduction(t *testing.T) {
+	v := state.NewView()
+	for stamp, r := range [][2]string{
+		{"job/j-000001", `{"spec":{"ref":"j-000001","jobclass":"c","owner":"red","shape":"sweep","rank":"urgent","pieces":3,"cores":2,"gpus":0,"memoryGb":4,"bundle":"img","imageGb":1,"loaners":true,"guessS":5,"keepsakeS":0,"stowS":0,"dueS":90,"atMs":1000}}`},
+		{"bound/b0/0", `{"hosts":{"host-000001":{"build":"small","yard":"a","spot":true,"pieces":{"j-000001":[[1,4194305],[2,4194306]]}},"host-000002":null},"done":{"j-000001":"AQ=="}}`},
+		{"job/j-000002", `{"end":"done","pieces":4}`},
+		{"job/j-000003", `{"spec":{"ref":"j-000003","jobclass":"c","owner":"red","shape":"gang","rank":"idle","pieces":1,"cores":2,"gpus":0,"memoryGb":4,"bundle":"img","imageGb":1,"guessS":5,"keepsakeS":0,"stowS":0,"atMs":1000},"end":"withdrawn"}`},
+		{"leader", `{"node":"node-0","session":7}`},
+		{"grant/b0", `{"holder":"node-0","session":7,"credit":{"red":{"Cores":40000,"GPUs":8000,"Mem":0}}}`},
+		{"flavors", `{"builds":[{"label":"small","cores":8,"gpus":0,"memoryGb":32,"cacheGb":20,"fetchGbPerS":1,"price":1,"lowPrice":0.3,"bootS":5,"yards":["a"]}]}`},
+		{"node/node-0", `{"session":7,"serve":"10.0.0.1:8080"}`},
+	} {
+		if _, err := asProduction(r[0], json.RawMessage(r[1])); err != nil {
+			t.Fatalf("not a record of production: %v", err)
+		}
+		if ok, err := v.Set(r[0], json.RawMessage(r[1]), uint64(stamp+5)); !ok || err != nil {
+			t.Errorf("%s: %v, %v", r[0], ok, err)
+		}
+	}
+	if status, done, running, _ := v.Status("j-000001"); status != "running" || done != 1 || running != 2 {
+		t.Errorf("j-000001 is %s, %d done, %d running", status, done, running)
+	}
+	for ref, want := range map[string]string{"j-000002": "done", "j-000003": "withdrawn"} {
+		if status, _, _, _ := v.Status(ref); status != want {
+			t.Errorf("%s is %s, want %s", ref, status, want)
+		}
+	}
+	j := v.Jobs["j-000001"]
+	if !j.Ready() || j.ReadyMs() != 1000 || j.Job().Due != 90*model.Second || j.Job().Rank != model.Urgent {
+		t.Errorf("j-000001 is read as %+v", j.Job())
+	}
+	// A job that awaits what production ended counts its times from its own submission.
+	v.Put("job/j-000004", block.JobRecord{Spec: &model.Submission{Ref: "j-000004", Pieces: 1, AtMs: 9000, Awaits: []string{"j-000002"}}}, 30)
+	if j := v.Jobs["j-000004"]; !j.Ready() || j.ReadyMs() != 9000 {
+		t.Errorf("ready %v from %d ms", j.Ready(), j.ReadyMs())
+	}
+}
+
+// As long as nothing new is asked, production can read all that is written, and
+// loses nothing that it knows of when it writes it again.
+func TestProductionReadsWhatIsWritten(t *testing.T) {
+	w := newDeployment(t, 51, nextSettings, capacity(4, 2))
+	for i := range 8 {
+		w.submit(sweepJob(i, 6, 8), model.Micros(i%3)*10*model.Second)
+		w.submit(gangJob(20+i, 1+i%3, 8), 0)
+	}
+	seen := map[string]bool{}
+	for range 40 {
+		w.Run(w.Now + model.Second)
+		es, _, err := w.state.List("node-0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range es {
+			raw, err := asProduction(e.Path, e.Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			var ours, theirs map[string]any
+			if json.Unmarshal(e.Value, &ours) != nil || json.Unmarshal(raw, &theirs) != nil {
+				t.Fatalf("%s: %s", e.Path, e.Value)
+			}
+			if delete(ours, "atMs"); fmt.Sprint(ours) != fmt.Sprint(theirs) {
+				t.Fatalf("%s: %s, which production reads as %s", e.Path, e.Value, raw)
+			}
+			kind, _, _ := strings.Cut(e.Path, "/")
+			seen[kind] = true
+		}
+	}
+	if len(seen) != 6 {
+		t.Errorf("only records of %v", seen)
+	}
+	w.check()
+}
+
+// Old and new version serve, lead and hold side by side under failures, and then
+// the limits fall and pipelines are asked for: no rule breaks, nothing that was
+// accepted is forgotten, and all of it ends. A node that crashes before its turn
+// comes back old.
+func TestUpgradeUnderFailures(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newDeployment(t, rapid.Uint64().Draw(rt, "seed"), nextSettings, capacity(4, 2))
+		for _, n := range w.nodes {
+			n.crash()
+			n.old = true
+			n.start()
+		}
+		var us []*user
+		for i := range 14 {
+			w.At(w.Between(0, 110*model.Second), func() {
+				s := sweepJob(i, 1+w.Rng.IntN(12), float64(2+w.Rng.IntN(25)))
+				if w.Chance(0.3) {
+					s = gangJob(i, 1+w.Rng.IntN(4), float64(2+w.Rng.IntN(25)))
+				}
+				us = append(us, w.submit(s, model.Micros(w.Rng.IntN(3)/2)*w.Between(model.Second, 30*model.Second)))
+			})
+		}
+		var pipes [][]*user
+		every := w.Between(3*model.Second, 15*model.Second)
+		fell := false
+		w.upgrade(w.Between(10*model.Second, 40*model.Second), every, func() {
+			for i := range 4 {
+				w.After(w.Between(0, 60*model.Second), func() {
+					cancel := model.Micros(0)
+					if w.Chance(0.4) {
+						cancel = w.Between(model.Second, 20*model.Second)
+					}
+					at := len(pipes)
+					pipes = append(pipes, nil)
+					pipes[at] = w.pipeline(100+10*i, cancel)
+				})
+			}
+			w.After(w.Between(0, 40*model.Second), func() {
+				w.state.Fall(2, 5, 18)
+				fell = true
+			})
+		})
+		for range rapid.IntRange(1, 8).Draw(rt, "faults") {
+			kind := rapid.IntRange(0, 13).Draw(rt, "kind")
+			long := w.Between(model.Second, 25*model.Second)
+			w.At(w.Between(10*model.Second, 130*model.Second), func() { fault(w, kind, long) })
+		}
+		w.copies = rapid.SampledFrom([]float64{0, 0.05}).Draw(rt, "copies")
+		w.At(160*model.Second, func() {
+			for _, n := range w.nodes {
+				n.setCut(open)
+				n.workers, n.alone = true, false
+			}
+			clear(w.deaf)
+			w.copies = 0
+		})
+		w.Run(520 * model.Second)
+		if len(w.rules.Broken) > 0 {
+			rt.Fatalf("rules broken: %v", w.rules.Broken)
+		}
+		if !fell || len(pipes) != 4 {
+			rt.Fatalf("the limits fell: %v; %d pipelines", fell, len(pipes))
+		}
+		for ref := range w.rules.Accepted {
+			if w.rules.Ended(ref) == "" {
+				rt.Fatalf("%s never ended; %s", ref, w.describe())
+			}
+		}
+		if w.state.TooBig > 0 {
+			rt.Fatalf("%d transactions were too large for the limits that had been announced", w.state.TooBig)
+		}
+	})
+}
+
+// The limits fall in the middle of a takeover, with large bundles of production
+// still stored and a machine that holds more pieces than a value now bears. What
+// it left is worked off, and nothing is lost or stuck.
+func TestLimitsFallDuringATakeover(t *testing.T) {
+	w := newDeployment(t, 52, nextSettings, capacity(6, 2))
+	for _, n := range w.nodes {
+		n.crash()
+		n.old = true
+		n.start()
+	}
+	var us []*user
+	for i := range 3 {
+		s := sweepJob(i, 400, 25)
+		s.Cores, s.MemoryGB = 0.05, 0.1
+		us = append(us, w.submit(s, 0))
+	}
+	w.until(60*model.Second, "many run", func() bool { return w.rules.OnMachine() > 700 })
+	largest := func() (most int) {
+		es, _, err := w.state.List("node-0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range es {
+			most = max(most, len(e.Value))
+		}
+		return most
+	}
+	if n := largest(); n < 4096 {
+		t.Fatalf("the largest value has %d bytes", n)
+	}
+	for _, n := range w.nodes {
+		n.crash()
+		n.old = false
+		w.After(w.Between(0, 2*model.Second), n.start)
+	}
+	w.After(500*model.Millisecond, func() { w.state.Fall(2, 5, 18) })
+	for i := 10; i < 14; i++ {
+		us = append(us, w.submit(sweepJob(i, 20, 5), 0))
+	}
+	w.until(300*model.Second, "all is done", func() bool {
+		return !slices.ContainsFunc(us, func(u *user) bool { return u.ended != "done" })
+	})
+	if w.state.TooBig > 0 {
+		t.Errorf("%d transactions were too large", w.state.TooBig)
+	}
+	w.check()
+}
+
+// Limits that fall below what was announced are found out: what is refused is cut
+// anew, and goes on.
+func TestLimitsFallUnannounced(t *testing.T) {
+	w := newWorld(t, 53)
+	var us []*user
+	for i := range 3 {
+		us = append(us, w.submit(sweepJob(i, 30, 10), 0))
+	}
+	w.until(60*model.Second, "something runs", func() bool { return w.rules.OnMachine() > 5 })
+	w.state.Fall(2, 4, 20)
+	for i := 10; i < 40; i++ {
+		us = append(us, w.submit(sweepJob(i, 6, 5), 0))
+	}
+	w.until(400*model.Second, "all is done", func() bool {
+		return !slices.ContainsFunc(us, func(u *user) bool { return u.ended != "done" })
+	})
+	w.check()
+}
--- /dev/null
+++ b/internal/state/pipeline_test.go
@@ -0,0 +1,172 @@
+package state
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"woadweir/internal/core/block"
+	"woadweir/internal/core/model"
+)
+
+type put struct {
+	ref string
+	rec block.JobRecord
+}
+
+func spec(ref string, awaits ...string) put {
+	return put{ref, block.JobRecord{Spec: &model.Submission{Ref: ref, Pieces: 1, Rank: "idle", GuessS: 10, AtMs: 1000, Awaits: awaits}}}
+}
+
+func (v *View) puts(ps ...put) {
+	for _, p := range ps {
+		v.Put("job/"+p.ref, p.rec, uint64(len(v.Stamps)+int(v.Stamps["job/"+p.ref])+1))
+	}
+}
+
+func done(ref string, atMs int64) put {
+	return put{ref, block.JobRecord{End: Done, Pieces: 1, AtMs: atMs}}
+}
+
+func withdrawn(p put) put {
+	p.rec.End = Withdrawn
+	return p
+}
+
+// What becomes of jobs that await others follows from the records alone, in
+// whatever order they become known.
+func TestPipelineInAnyOrder(t *testing.T) {
+	b := spec("j-b", "j-a")
+	cancelled := spec("j-x")
+	all := []put{done("j-a", 5000), b, spec("j-c", "j-a", "j-b"), cancelled, withdrawn(cancelled), spec("j-y", "j-a", "j-x"), spec("j-z", "j-y"), done("j-d", 7000),
+		spec("j-e", "j-d", "j-a"), withdrawn(spec("j-w", "j-b")), spec("j-v", "j-w")}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 200 {
+		v := NewView()
+		stamps := map[string]uint64{"j-a": 1, "j-b": 2, "j-c": 3, "j-x": 4, "j-y": 6, "j-z": 7, "j-d": 8, "j-e": 9, "j-w": 10, "j-v": 11}
+		for _, k := range rng.Perm(len(all)) {
+			stamp := stamps[all[k].ref]
+			if all[k].ref == "j-x" && all[k].rec.End != "" {
+				stamp++
+			}
+			v.Put("job/"+all[k].ref, all[k].rec, stamp)
+		}
+		for ref, want := range map[string]string{"j-a": "done", "j-b": "pending", "j-c": "pending", "j-x": "withdrawn", "j-y": "withdrawn", "j-z": "withdrawn",
+			"j-d": "done", "j-e": "pending", "j-w": "withdrawn", "j-v": "withdrawn"} {
+			if status, _, _, _ := v.Status(ref); status != want {
+				t.Fatalf("%s is %s, want %s", ref, status, want)
+			}
+		}
+		for ref, want := range map[string]bool{"j-b": true, "j-c": false, "j-e": true, "j-y": false, "j-v": false} {
+			if v.Jobs[ref].Ready() != want {
+				t.Fatalf("%s is ready: %v", ref, !want)
+			}
+		}
+		if e := v.Jobs["j-e"]; e.ReadyMs() != 7000 || e.Order() != 9 {
+			t.Fatalf("j-e could begin at %d ms, its age is %d", e.ReadyMs(), e.Order())
+		}
+	}
+}
+
+// A job counts its times from the end of the last job that it needs, except its
+// deadline; the jobs before it have its rank, and are due early enough for it.
+func TestStandingFollowsFromWhatComesAfter(t *testing.T) {
+	due := 100.0
+	last := spec("j-c", "j-b")
+	last.rec.Spec.Rank, last.rec.Spec.DueS = "urgent", &due // due at 101,000 ms
+	v := NewView()
+	v.puts(spec("j-a"), spec("j-b", "j-a"))
+	if rank, due := v.Jobs["j-a"].Standing(); rank != model.Idle || due != 0 {
+		t.Errorf("alone: rank %d, due in %d", rank, due)
+	}
+	v.TakeNews()
+	v.puts(last)
+	if news := v.TakeNews(); len(news) != 1 || news[0] != "j-a" {
+		t.Errorf("news of %v, want j-a, which may begin", news)
+	}
+	if rank, due := v.Jobs["j-a"].Standing(); rank != model.Urgent || due != 80*model.Second {
+		t.Errorf("first: rank %d, due in %.1f s", rank, due.Seconds())
+	}
+	v.puts(done("j-a", 31_000))
+	if news := v.TakeNews(); len(news) != 1 || news[0] != "j-b" {
+		t.Errorf("news of %v, want j-b, which may begin now", news)
+	}
+	if j := v.Jobs["j-b"]; j.ReadyMs() != 31_000 || j.Job().Due != 60*model.Second || j.Job().Rank != model.Urgent {
+		t.Errorf("second: from %d ms, %+v", j.ReadyMs(), j.Job())
+	}
+	v.puts(done("j-b", 200_000))
+	if j := v.Jobs["j-c"]; !j.Ready() || j.Job().Due != 1 {
+		t.Errorf("last: ready %v, due in %d, which is over", j.Ready(), j.Job().Due)
+	}
+}
+
+// A deep chain and wide fans.
+func TestDeepAndWidePipelines(t *testing.T) {
+	const n = 1000
+	ref := func(i int) string { return fmt.Sprintf("j-%06d", i) }
+	chain := NewView()
+	chain.puts(spec(ref(0)))
+	for i := 1; i < n; i++ {
+		chain.puts(spec(ref(i), ref(i-1)))
+	}
+	for i := range n / 2 {
+		if !chain.Jobs[ref(i)].Ready() || chain.Jobs[ref(i+1)].Ready() {
+			t.Fatalf("%d of the chain", i)
+		}
+		chain.puts(done(ref(i), 1))
+	}
+	chain.puts(withdrawn(spec(ref(n/2), ref(n/2-1))))
+	fan, all := NewView(), make([]string, 0, n)
+	fan.puts(spec("j-first"))
+	for i := range n {
+		fan.puts(spec(ref(i), "j-first"))
+		all = append(all, ref(i))
+	}
+	fan.puts(spec("j-last", all...), done("j-first", 1))
+	for i := range n {
+		if end, _ := chain.Final(ref(i)); i >= n/2 && end != Withdrawn || i < n/2 && end != Done {
+			t.Fatalf("%d of the chain is %q", i, end)
+		}
+		if !fan.Jobs[ref(i)].Ready() || fan.Jobs["j-last"].Ready() {
+			t.Fatalf("%d of the fan", i)
+		}
+		fan.puts(done(ref(i), 1))
+	}
+	if !fan.Jobs["j-last"].Ready() {
+		t.Error("a thousand jobs are done, and the one after them may not begin")
+	}
+}
+
+// An entry that one transaction wrote into two bundles still stands in one of them
+// when the other drops it.
+func TestTwinEntries(t *testing.T) {
+	host := map[string]*block.HostRecord{"h1": {Pieces: map[string][][2]uint64{"j-1": {{0, 5}}}}}
+	for dropped := range 2 {
+		v := NewView()
+		v.Put("job/j-1", spec("j-1").rec, 1)
+		v.Put(BundleKey("b0", 0), block.BundleRecord{Hosts: host}, 7)
+		v.Put(BundleKey("b0", 1), block.BundleRecord{Hosts: host}, 7)
+		v.Put(BundleKey("b0", dropped), block.BundleRecord{}, 8)
+		if status, _, n, _ := v.Status("j-1"); status != "running" || n != 1 {
+			t.Errorf("bundle %d dropped it: %s, %d running", dropped, status, n)
+		}
+		v.Put(BundleKey("b0", 1-dropped), block.BundleRecord{}, 9)
+		if status, _, _, _ := v.Status("j-1"); status != "pending" {
+			t.Errorf("both dropped it: %s", status)
+		}
+	}
+}
+
+func BenchmarkDeepChainEnds(b *testing.B) {
+	b.ReportAllocs()
+	for range b.N {
+		v := NewView()
+		v.puts(spec("j-0"))
+		for i := range 1000 {
+			v.puts(spec(fmt.Sprintf("j-%d", i+1), fmt.Sprintf("j-%d", i)))
+		}
+		for i := range 1000 {
+			v.puts(done(fmt.Sprintf("j-%d", i), 1))
+		}
+	}
+}
