--- a/internal/core/place/place.go
+++ b/internal/core/place/place.go
@@ -155,16 +155,17 @@
 )
 
 // starving finds the jobs of which nothing has begun, or been on a machine since,
-// for so long that they have to go first, whatever their rank: a gang as a whole, another job with a single
-// task. Without this, jobs that can't be in time any more, and gangs for which
-// small ones leave no room, would wait for ever; with more of it, all jobs of a
-// busy class would get late by turns. The jobs must be in order of age.
+// for so long that they have to go first, whatever their rank: a gang as a whole,
+// another job with a single task. Without this, jobs that can't be in time any
+// more, and gangs for which small ones leave no room, would wait for ever; with
+// more of it, all jobs of a busy class would get late by turns. The jobs must be
+// in order of age.
 func (w *World) starving() {
 	ahead := map[string]float64{}      // tasks that have to begin first
 	until := map[string]model.Micros{} // jobs of the class seen until then are starved
+	idles := func(j *model.JobState) bool { return len(j.Bound) == 0 && len(j.Waiting) > 0 && j.Ended == "" }
 	for _, j := range w.Jobs {
-		j.Starved = false
-		if len(j.Bound) > 0 || len(j.Waiting) == 0 || j.Ended != "" {
+		if !idles(j) {
 			continue
 		}
 		if j.Shape == model.Gang {
@@ -173,17 +174,13 @@
 			ahead[j.Class]++
 		}
 		age := w.Now - idle(j)
-		rate := 0.0
-		if w.Rate != nil {
-			rate = w.Rate(j.Class)
-		}
-		if age > beginBy || age > starveLeast && age.Seconds()+ahead[j.Class]/max(rate, 0.001) > beginBy.Seconds() {
+		if age > beginBy || age > starveLeast && age.Seconds()+ahead[j.Class]/max(w.Rate(j.Class), 0.001) > beginBy.Seconds() {
 			until[j.Class] = max(until[j.Class], idle(j))
 		}
 	}
 	for _, j := range w.Jobs {
 		at, ok := until[j.Class]
-		j.Starved = ok && idle(j) <= at && w.Now-idle(j) > starveLeast && len(j.Bound) == 0 && j.Ended == ""
+		j.Starved = ok && idle(j) <= at && w.Now-idle(j) > starveLeast && idles(j)
 	}
 }
 
