--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -95,6 +95,7 @@
 	slots  []*slot
 	liveAt map[string]int // entry -> the slot with its latest durable version
 	copies map[string]int // entry -> how many slots hold some version of it
+	ends   []string       // jobs whose end is to be written
 	again  []Write        // bundles whose last write may yet be carried out late
 	opened int            // bundles begun since the slots were last recounted
 	labels map[string]int // bytes of names
@@ -310,7 +311,7 @@
 	if js.Ended == "" && !js.EndWanted {
 		js.EndWanted = true
 		js.Waiting = nil
-		h.push(endEntry + js.Ref)
+		h.ends = append(h.ends, js.Ref)
 	}
 }
 
--- a/internal/core/block/writes.go
+++ b/internal/core/block/writes.go
@@ -67,11 +67,10 @@
 	AtMs int64 `json:"atMs,omitempty"`
 }
 
-// What waits to be written: entries of bundles, and ends of jobs.
+// Entries of bundles.
 const (
 	HostEntry = "host/"
 	DoneEntry = "done/"
-	endEntry  = "end/"
 )
 
 // Write is a change to be made durable under our grant.
@@ -107,7 +106,7 @@
 }
 
 // Queued is the number of records waiting to be written.
-func (h *Holder) Queued() int { return len(h.queue) + len(h.again) }
+func (h *Holder) Queued() int { return len(h.ends) + len(h.queue) + len(h.again) }
 
 // LoadSlot books what stands durably in a slot: a bundle that was just written, or
 // one of an earlier holder's. Bundles have to be booked in the order in which they
@@ -435,25 +434,22 @@
 		return ws
 	}
 	var ws []*Write
+	// Ends first: users, and jobs that await these, wait for them. They need no order
+	// among the rest, as nothing of an ended job is bound any more.
+	for len(h.ends) > 0 && len(ws) < ops && bytes >= maxEndBytes {
+		ref := h.ends[0]
+		h.ends = h.ends[1:]
+		if js := h.Jobs[ref]; js != nil && js.Ended == "" {
+			bytes -= maxEndBytes
+			ws = append(ws, &Write{Key: "job/" + ref, Slot: -1, Value: JobRecord{End: "done", Pieces: js.Pieces}})
+		}
+	}
 	taken := map[int]bool{}
 	written := map[string]bool{}
 	var cur *Write
 	var left []string
 	used := 0
 	for _, entry := range h.queue {
-		if ref, ok := strings.CutPrefix(entry, endEntry); ok {
-			js := h.Jobs[ref]
-			if js != nil && js.Ended == "" {
-				if len(ws) >= ops || bytes < maxEndBytes {
-					break
-				}
-				bytes -= maxEndBytes
-				ws = append(ws, &Write{Key: "job/" + ref, Slot: -1, Value: JobRecord{End: "done", Pieces: js.Pieces},
-					vers: map[string]uint64{entry: 0}})
-			}
-			used++
-			continue
-		}
 		if written[entry] {
 			// It was carried along, at its present version. Two versions of it with the
 			// same stamp would leave readers to guess which one counts.
@@ -547,11 +543,15 @@
 // the latter case bundles are written once more just as they were: that they fit is
 // known, and the guards on the versions that we last saw make it harmless.
 func (h *Holder) Retry(ws []Write, lost bool) {
-	var head []string
+	var head, ends []string
 	var again []Write
 	for i := range ws {
 		w := ws[i]
-		if w.lost = w.lost || lost; w.Slot >= 0 && w.lost {
+		if w.Slot < 0 {
+			ends = append(ends, strings.TrimPrefix(w.Key, "job/"))
+			continue
+		}
+		if w.lost = w.lost || lost; w.lost {
 			again = append(again, w)
 			continue
 		}
@@ -560,6 +560,7 @@
 		}
 	}
 	h.again = append(again, h.again...)
+	h.ends = append(ends, h.ends...)
 	slices.Sort(head)
 	// What was changed again meanwhile moves to the front.
 	h.queue = slices.DeleteFunc(h.queue, func(e string) bool { return slices.Contains(head, e) })
