--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -35,7 +35,7 @@
 // every accepted job comes to its end.
 func TestRandomFailures(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newWorld(t, rapid.Uint64().Draw(rt, "seed"))
+		w := newDeployment(t, rapid.Uint64().Draw(rt, "seed"), sockets(rapid.SampledFrom([]int{0, 14}).Draw(rt, "sockets"), simSettings), capacity(4, 2))
 		const calm = 150 * model.Second
 		for i := range rapid.IntRange(5, 14).Draw(rt, "jobs") {
 			at := w.Between(0, 100*model.Second)
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -15,7 +15,6 @@
 	"woadweir/internal/core/model"
 	"woadweir/internal/state"
 	"woadweir/internal/userapi"
-	"woadweir/internal/workerapi"
 )
 
 // Lanes of transactions: at most one of each is on its way. Users' changes have
@@ -115,8 +114,15 @@
 	pingedAt model.Micros            // when they last answered
 	alive    int                     // siblings that answered
 	helpers  []string                // siblings that reach the state service
-	seen     map[string]model.Micros // when workers reported here last
-	cutPings int                     // pings in a row that spoke for resigning
+	seen     map[string]model.Micros // when workers reported here last, not through a sibling
+
+	seenAt     model.Micros // when seen was last cleared of those that are gone
+	routes     map[string]route
+	relays     []string // siblings that hand reports on
+	relayNext  int
+	relayNotBy model.Micros // no report is handed on before
+
+	cutPings int // pings in a row that spoke for resigning
 
 	leading *leadership
 }
@@ -128,7 +134,7 @@
 	limits := set.StateLimits()
 	gap := model.Seconds(float64(nodes) / (syncShare * limits.RPS))
 	c := &controller{set: set, limits: limits, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
-		syncGap: max(syncLeast, gap), seen: map[string]model.Micros{}, view: state.NewView(), wantList: true,
+		syncGap: max(syncLeast, gap), seen: map[string]model.Micros{}, routes: map[string]route{}, view: state.NewView(), wantList: true,
 		wall: func() int64 { return time.Now().UnixMilli() }}
 	c.budget = state.NewBudget(c.writeShare(false))
 	return c
@@ -169,13 +175,15 @@
 	case msgUp:
 		m.reply <- c.healthy()
 	case msgReached:
-		m.reply <- pinged{c.loaded && !c.suspect(), c.workersSeen()}
+		m.reply <- pinged{c.loaded && !c.suspect(), c.direct()}
 	case msgPinged:
 		c.pinging, c.pingedAt = false, c.now
-		c.alive, c.helpers = m.alive, m.helpers
+		c.alive, c.helpers, c.relays = m.alive, m.helpers, m.relays
 		c.considerResigning(m)
 	case msgCheckin:
 		c.checkin(m)
+	case msgRelayFailed:
+		c.relayNotBy = c.now + failedFor
 	case msgSession:
 		c.sessionNews(m)
 	case msgSynced:
@@ -417,43 +425,32 @@
 
 // startPing asks the siblings whether they reach the state service, as long as
 // this controller may not, and whether workers come to them, as long as none
-// comes to a leader.
+// comes to a leader; a leader to which very many come asks which of them hand
+// reports on.
 func (c *controller) startPing() {
-	if c.pinging || !c.suspect() && !c.deserted() || len(c.set.Siblings) == 0 || c.pingAt != 0 && c.now-c.pingAt < 500*model.Millisecond {
+	if c.pinging || len(c.set.Siblings) == 0 || c.pingAt != 0 && c.now-c.pingAt < 500*model.Millisecond {
+		return
+	}
+	crowded := c.leading != nil && c.now-c.pingAt >= pingCrowd && c.crowd() >= crowdPing
+	if !crowded && !c.suspect() && !c.deserted() {
 		return
 	}
 	c.pinging, c.pingAt = true, c.now
 	c.io.ping()
 }
 
-// workersSeen is the number of workers that reported here in the last two
-// reports' time.
-func (c *controller) workersSeen() int {
-	fresh := 2 * model.Seconds(c.set.Params.Workers.ReportS)
-	for ref, at := range c.seen {
-		if c.now-at > fresh {
-			delete(c.seen, ref)
-		}
-	}
-	return len(c.seen)
-}
-
 // deserted tells that this controller leads and holds machines that are up, but
-// that none has reported for a while.
+// that none has reported to it itself for a while.
 func (c *controller) deserted() bool {
 	l := c.leading
-	if l == nil || !l.ready {
+	if l == nil || !l.ready || c.direct() > 0 {
 		return false
 	}
 	up := 0
 	for _, m := range l.h.Hosts {
-		if !m.Up || m.Lost || m.Deleting {
-			continue
-		}
-		if c.now-m.Heard < 2*l.h.P.Report {
-			return false
+		if m.Up && !m.Lost && !m.Deleting {
+			up++
 		}
-		up++
 	}
 	return up > 1
 }
@@ -808,27 +805,3 @@
 		}
 	}
 }
-
-// --- workers
-
-// elsewhere tells a worker where to go.
-func (c *controller) elsewhere() workerAnswer {
-	steward := ""
-	if l := c.view.Leader; l != nil && l.Node != c.set.NodeName && c.auth.Fresh(c.now) {
-		steward = l.Node
-	}
-	return workerAnswer{421, workerapi.Elsewhere(steward)}
-}
-
-func (c *controller) checkin(m msgCheckin) {
-	c.seen[m.report.Host] = c.now
-	if c.leading == nil {
-		m.reply <- c.elsewhere()
-		return
-	}
-	if !c.leading.ready || !c.auth.Holds(c.now) {
-		m.reply <- workerAnswer{503, []byte("{}")}
-		return
-	}
-	c.leading.checkin(m)
-}
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -375,7 +375,7 @@
 	w.Run(w.Now + spans.TTL + model.Second)
 	reply := make(chan workerAnswer, 1)
 	r := simReport("host-z")
-	n.ask(msgCheckin{r, reply}, nil)
+	n.ask(msgCheckin{report: r, reply: reply}, nil)
 	if a := <-reply; a.code == 200 {
 		t.Fatal("a worker was answered without authority")
 	}
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -1,9 +1,12 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
+	"slices"
+	"strings"
 	"time"
 
 	"woadweir/internal/cloud"
@@ -119,28 +122,34 @@
 		ctx, cancel := context.WithTimeout(io.ctx, pingPatience.Duration())
 		defer cancel()
 		type result struct {
-			name           string
-			alive, reached bool
-			workers        int
+			name  string
+			alive bool
+			peer.Pinged
 		}
 		results := make(chan result, len(io.peers))
 		for _, p := range io.peers {
 			go func() {
-				reached, workers, err := p.Ping(ctx, io.name)
-				results <- result{p.Name, err == nil, reached, workers}
+				pinged, err := p.Ping(ctx, io.name)
+				results <- result{p.Name, err == nil, pinged}
 			}()
 		}
 		var m msgPinged
+		workers := map[string]int{}
 		for range io.peers {
 			r := <-results
 			if r.alive {
 				m.alive++
 			}
-			m.workers += r.workers
-			if r.reached {
+			m.workers += r.Workers
+			if r.Reached {
 				m.helpers = append(m.helpers, r.name)
 			}
+			if r.Relays {
+				m.relays = append(m.relays, r.name)
+				workers[r.name] = r.Workers
+			}
 		}
+		slices.SortFunc(m.relays, func(a, b string) int { return cmp.Or(workers[a]-workers[b], strings.Compare(a, b)) })
 		io.send(m)
 	}()
 }
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -267,19 +267,19 @@
 func (l *leadership) checkin(m msgCheckin) {
 	c := l.c
 	if l.gone[m.report.Host] != 0 {
-		m.reply <- workerAnswer{503, []byte("{}")}
+		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
 		return
 	}
 	switch l.h.Take(m.report, c.now) {
 	case block.Stale:
-		m.reply <- workerAnswer{503, []byte("{}")}
+		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
 		return
 	case block.Deposed:
 		c.afterSync(func(bool) {})
-		m.reply <- workerAnswer{421, workerapi.Elsewhere("")}
+		m.reply <- workerAnswer{code: 421, body: workerapi.Elsewhere("")}
 		return
 	case block.Greeted:
-		m.reply <- workerAnswer{200, workerapi.Answer(l.token, nil)}
+		m.reply <- workerAnswer{code: 200, body: workerapi.Answer(l.token, nil)}
 		return
 	}
 	l.place()
@@ -322,10 +322,10 @@
 func (l *leadership) respond(m msgCheckin) {
 	h := l.h.Hosts[m.report.Host]
 	if h == nil || h.Tenure != m.report.Tenure || h.Tally != m.report.Tally || h.Deleting || !l.c.auth.Holds(l.c.now) {
-		m.reply <- workerAnswer{503, []byte("{}")}
+		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
 		return
 	}
-	m.reply <- workerAnswer{200, workerapi.Answer(l.token, l.h.Orders(m.report, l.c.now))}
+	m.reply <- workerAnswer{code: 200, body: workerapi.Answer(l.token, l.h.Orders(m.report, l.c.now))}
 }
 
 // flush answers reports whose bindings are durable, or that waited enough.
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -33,7 +33,11 @@
 	msgCheckin struct {
 		report *block.Report
 		reply  chan<- workerAnswer
+		// relayed tells that it came through a sibling.
+		relayed bool
 	}
+	// msgRelayFailed tells that a report could not be handed on to the leader.
+	msgRelayFailed struct{}
 	// msgSession tells of the session: a new one, a touch, or its end (id 0).
 	msgSession struct {
 		id   uint64
@@ -84,7 +88,8 @@
 	msgPinged struct {
 		alive   int
 		helpers []string
-		workers int // that reported to siblings lately
+		workers int      // that reported to siblings lately
+		relays  []string // siblings that hand reports on, those with fewest workers first
 	}
 	// msgReached is a sibling's ping.
 	msgReached struct{ reply chan<- pinged }
@@ -96,10 +101,12 @@
 	workers int
 }
 
-// workerAnswer is a response to a worker.
+// workerAnswer is a response to a worker. If relay is set, the report may be handed on
+// to that sibling, which leads: its answer then counts instead.
 type workerAnswer struct {
-	code int
-	body []byte
+	code  int
+	body  []byte
+	relay string
 }
 
 // userWrite is an acceptance or a cancellation on its way to being durable.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,6 +116,7 @@
 	patienceUser   = 4500 * time.Millisecond
 	patiencePoll   = 1800 * time.Millisecond
 	patienceWorker = 3500 * time.Millisecond
+	patienceRelay  = 2500 * time.Millisecond
 	patienceUp     = 900 * time.Millisecond
 )
 
@@ -131,7 +132,7 @@
 	method, path := string(rc.Method()), string(rc.Path())
 	rc.SetContentType("application/json")
 	if path == "/checkin" && method == "POST" {
-		checkin(rc, f.mail)
+		f.checkin(rc)
 		return
 	}
 	a := f.User(method, path, rc.PostBody())
@@ -200,22 +201,45 @@
 	return userapi.Error(404, "no such page", 0)
 }
 
-func checkin(rc *fasthttp.RequestCtx, mail chan<- any) {
-	r, err := workerapi.ParseReport(rc.PostBody())
+func (f *front) checkin(rc *fasthttp.RequestCtx) {
+	body := rc.PostBody()
+	r, err := workerapi.ParseReport(body)
 	if err != nil {
 		answer(rc, userapi.Error(400, err.Error(), 0))
 		return
 	}
 	reply := make(chan workerAnswer, 1)
-	a, got := ask(mail, msgCheckin{r, reply}, reply, patienceWorker)
+	a, got := ask(f.mail, msgCheckin{report: r, reply: reply}, reply, patienceWorker)
 	if !got {
 		answer(rc, userapi.Error(503, "busy", 1))
 		return
 	}
+	if a.relay != "" {
+		a = f.relay(a, body)
+	}
 	rc.SetStatusCode(a.code)
 	rc.Response.SetBodyRaw(a.body)
 }
 
+// relay hands a report on to the leader; without its answer, ours stands.
+func (f *front) relay(a workerAnswer, body []byte) workerAnswer {
+	for _, p := range f.peers {
+		if p.Name != a.relay {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(f.ctx, patienceRelay)
+		defer cancel()
+		if code, answer, err := p.Report(ctx, body); err == nil {
+			return workerAnswer{code: code, body: answer}
+		}
+	}
+	select {
+	case f.mail <- msgRelayFailed{}:
+	default: // the next will tell
+	}
+	return a
+}
+
 // ask sends a message and waits for its answer. When the actor's mailbox is
 // full, the request is refused at once.
 func ask[T any](mail chan<- any, msg any, reply <-chan T, patience time.Duration) (answer T, got bool) {
--- /dev/null
+++ b/internal/node/relay_test.go
@@ -0,0 +1,87 @@
+package node
+
+import (
+	"testing"
+
+	"woadweir/internal/config"
+	"woadweir/internal/core/model"
+)
+
+// With more machines than sockets for them, the leader sends workers on to siblings,
+// which hand their reports on: all machines work, at a takeover as well, and when
+// siblings can't be reached the leader takes all workers itself, as far as it can.
+func TestMoreWorkersThanSockets(t *testing.T) {
+	const limit = 20
+	large := func(name string) *config.Settings {
+		s := simSettings(name)
+		s.Params.Teams = []config.Team{{Name: "red", CPUsMax: 400}, {Name: "blue", CPUsMax: 400}}
+		return s
+	}
+	w := newDeployment(t, 71, sockets(limit, large), map[string]int{"small/a/false": 20, "small/b/false": 20})
+	for i := range 40 {
+		s := sweepJob(i, 8, 40)
+		s.Owner, s.Cores = "red", 0.9
+		if i%2 == 0 {
+			s.Owner = "blue"
+		}
+		w.submit(s, 0)
+	}
+	l := w.leader
+	up := func() (n int) {
+		for _, m := range l().ctl.leading.h.Hosts {
+			if m.Up && m.Hears && w.Now-m.Heard < 10*model.Second {
+				n++
+			}
+		}
+		return n
+	}
+	many := func() bool {
+		return l() != nil && l().ctl.leading.ready && up() > limit*3/4 && w.rules.OnMachine() > 60
+	}
+	w.until(90*model.Second, "more machines work than there are sockets for", many)
+	w.Run(w.Now + 10*model.Second)
+	if n := l().ctl.direct(); float64(n) > limit*crowdFull+2 {
+		t.Errorf("%d workers report to the leader itself", n)
+	}
+	if w.relayed == 0 {
+		t.Error("no report was handed on")
+	}
+	old := l()
+	old.crash()
+	w.After(4*model.Second, old.start)
+	w.until(40*model.Second, "and after a takeover", func() bool { return l() != nil && l() != old && many() })
+	w.Run(w.Now + 20*model.Second)
+	w.check()
+	before := w.relayed
+	for _, n := range w.nodes {
+		n.alone = n != l()
+	}
+	w.Run(w.Now + 15*model.Second)
+	before = w.relayed - before
+	at := w.relayed
+	w.Run(w.Now + 10*model.Second)
+	if w.relayed-at > 2 {
+		t.Errorf("%d reports were handed on though controllers do not reach each other (%d before)", w.relayed-at, before)
+	}
+	if l() == nil || up() == 0 {
+		t.Error("the leader lost all workers")
+	}
+	w.check()
+}
+
+// A leader that workers can't reach is handed their reports at once when they come
+// to a sibling, instead of asking them to come to it, until it has resigned.
+func TestWorkersThatCantComeAreNotAskedTo(t *testing.T) {
+	w := newWorld(t, 72)
+	for i := range 4 {
+		w.submit(sweepJob(i, 8, 60), 0)
+	}
+	w.until(60*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 20 })
+	was := w.rules.OnMachine()
+	w.leader().workers = false
+	w.Run(w.Now + 25*model.Second)
+	if n := w.rules.OnMachine(); n < was*3/4 {
+		t.Errorf("%d of %d tasks are left", n, was)
+	}
+	w.check()
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -79,6 +79,7 @@
 	deaf    map[string]bool // machines whose reports arrive, but which hear nothing
 	copies  float64         // chance that a report arrives once more, up to copyLate later
 	repeats float64         // chance that a request to the state service is carried out once more
+	relayed int             // reports that were handed on and answered
 	heard   []func()        // every report as it was delivered, if record is set
 	record  bool
 }
@@ -101,6 +102,15 @@
 	return s
 }
 
+// sockets are settings with so many sockets.
+func sockets(n int, settings func(name string) *config.Settings) func(name string) *config.Settings {
+	return func(name string) *config.Settings {
+		s := settings(name)
+		s.Params.Quota.FDLimit = n
+		return s
+	}
+}
+
 // capacity is so many machines of each type in each zone and of each kind.
 func capacity(small, gpu int) map[string]int {
 	m := map[string]int{}
@@ -176,23 +186,66 @@
 		if err != nil {
 			panic(err)
 		}
-		reply := make(chan workerAnswer, 1)
-		n.ask(msgCheckin{r, reply}, func() bool {
-			select {
-			case a := <-reply:
-				back := w.Between(200, 2000)
-				if w.Chance(0.01) {
-					back = 5 * model.Second // too late for the worker
-				}
-				w.After(back, func() { answer(a.code, a.body) })
-				return true
-			default:
-				return false
+		n.handsOver(msgCheckin{report: r}, func(a workerAnswer) {
+			back := w.Between(200, 2000)
+			if w.Chance(0.01) {
+				back = 5 * model.Second // too late for the worker
+			}
+			give := func(a workerAnswer) { w.After(back, func() { answer(a.code, a.body) }) }
+			if a.relay == "" {
+				give(a)
+				return
+			}
+			l := w.nodes[slices.Index(w.Nodes(), a.relay)]
+			life := n.life
+			fail := func() {
+				n.deliver(life, msgRelayFailed{})
+				give(a)
 			}
+			if l.alone || n.alone || l.old || !l.alive || w.Chance(0.01) {
+				w.After(w.Between(0, 2500*model.Millisecond), fail)
+				return
+			}
+			answered := false
+			w.After(2500*model.Millisecond, func() {
+				if !answered {
+					answered = true
+					fail()
+				}
+			})
+			w.After(w.Between(200, 2000), func() {
+				l.handsOver(msgCheckin{report: r, relayed: true}, func(b workerAnswer) {
+					w.After(w.Between(200, 2000), func() {
+						if answered || n.life != life {
+							return
+						}
+						answered = true
+						if b.code == 200 {
+							w.relayed++
+						}
+						give(b)
+					})
+				})
+			})
 		})
 	})
 }
 
+// handsOver gives the actor a report; f gets its answer.
+func (n *simNode) handsOver(m msgCheckin, f func(workerAnswer)) {
+	reply := make(chan workerAnswer, 1)
+	m.reply = reply
+	n.ask(m, func() bool {
+		select {
+		case a := <-reply:
+			f(a)
+			return true
+		default:
+			return false
+		}
+	})
+}
+
 func (n *simNode) start() {
 	n.alive, n.life, n.pending = true, n.life+1, nil
 	n.set = n.w.settings(n.name)
@@ -439,6 +492,9 @@
 			o.ask(msgReached{reply}, nil)
 			p := <-reply
 			m.workers += p.workers
+			if !o.old {
+				m.relays = append(m.relays, o.name)
+			}
 			if p.reached {
 				m.helpers = append(m.helpers, o.name)
 			}
--- a/internal/node/troubles_test.go
+++ b/internal/node/troubles_test.go
@@ -459,7 +459,7 @@
 	w.led(5 * model.Second)
 	l := w.leader()
 	reply := make(chan workerAnswer, 1)
-	l.ask(msgCheckin{simReport("host-000999"), reply}, nil)
+	l.ask(msgCheckin{report: simReport("host-000999"), reply: reply}, nil)
 	a := <-reply
 	if want := string(workerapi.Answer(l.ctl.leading.token, nil)); a.code != 200 || string(a.body) != want {
 		t.Errorf("answered %d %s", a.code, a.body)
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -264,7 +264,7 @@
 // comes back old.
 func TestUpgradeUnderFailures(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		w := newDeployment(t, rapid.Uint64().Draw(rt, "seed"), nextSettings, capacity(4, 2))
+		w := newDeployment(t, rapid.Uint64().Draw(rt, "seed"), sockets(rapid.SampledFrom([]int{0, 14}).Draw(rt, "sockets"), nextSettings), capacity(4, 2))
 		for _, n := range w.nodes {
 			n.crash()
 			n.old = true
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -22,6 +22,8 @@
 	// Ping tells whether the state service was reached lately, and how many
 	// workers reported lately.
 	Ping() (stateReached bool, workers int)
+	// Report answers a worker's report that a sibling hands on.
+	Report(body []byte) (code int, answer []byte)
 	// EndSession ends a sibling's session on its own request.
 	EndSession(id uint64)
 }
@@ -38,7 +40,12 @@
 
 func (s *server) Ping(context.Context, *PingRequest) (*PingAnswer, error) {
 	reached, workers := s.h.Ping()
-	return &PingAnswer{StateReached: reached, Workers: int32(workers)}, nil
+	return &PingAnswer{StateReached: reached, Workers: int32(workers), Relays: true}, nil
+}
+
+func (s *server) Report(_ context.Context, r *ReportRequest) (*ReportAnswer, error) {
+	code, body := s.h.Report(r.GetReport())
+	return &ReportAnswer{Code: int32(code), Body: body}, nil
 }
 
 func (s *server) Resign(_ context.Context, r *ResignRequest) (*ResignAnswer, error) {
@@ -48,7 +55,7 @@
 
 // Serve answers calls until the context ends.
 func Serve(ctx context.Context, ln net.Listener, h Handler) error {
-	s := grpc.NewServer(grpc.MaxConcurrentStreams(256))
+	s := grpc.NewServer(grpc.MaxConcurrentStreams(1024))
 	RegisterPeerServer(s, &server{h: h})
 	stop := context.AfterFunc(ctx, s.Stop)
 	defer stop()
@@ -82,14 +89,23 @@
 	return userapi.Answer{Code: int(a.GetCode()), Body: a.GetBody(), RetryAfter: int(a.GetRetryAfterS())}, nil
 }
 
-// Ping tells whether the other controller reaches the state service, and how
-// many workers reported to it lately.
-func (c *Client) Ping(ctx context.Context, self string) (reached bool, workers int, err error) {
+// Pinged is what another controller tells of itself.
+type Pinged struct {
+	Reached bool // it reaches the state service
+	Workers int  // that reported to it lately
+	Relays  bool // it hands reports on
+}
+
+// Ping asks the other controller how it is.
+func (c *Client) Ping(ctx context.Context, self string) (Pinged, error) {
 	a, err := c.rpc.Ping(ctx, &PingRequest{Node: self})
-	if err != nil {
-		return false, 0, err
-	}
-	return a.GetStateReached(), int(a.GetWorkers()), nil
+	return Pinged{a.GetStateReached(), int(a.GetWorkers()), a.GetRelays()}, err
+}
+
+// Report has the other controller, which leads, answer a worker's report.
+func (c *Client) Report(ctx context.Context, body []byte) (code int, answer []byte, err error) {
+	a, err := c.rpc.Report(ctx, &ReportRequest{Report: body})
+	return int(a.GetCode()), a.GetBody(), err
 }
 
 // Resign has the other controller end our session.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -14,7 +14,10 @@
 func (*scripted) User(method, path string, body []byte) userapi.Answer {
 	return userapi.Answer{Code: 503, Body: []byte(method + " " + path + " " + string(body)), RetryAfter: 2}
 }
-func (*scripted) Ping() (bool, int)      { return true, 7 }
+func (*scripted) Ping() (bool, int) { return true, 7 }
+func (*scripted) Report(body []byte) (int, []byte) {
+	return 421, append([]byte("answer to "), body...)
+}
 func (s *scripted) EndSession(id uint64) { s.ended = id }
 
 func TestCalls(t *testing.T) {
@@ -33,8 +36,11 @@
 	if a, err := c.Forward(ctx, "POST", "/work", []byte("{}")); err != nil || a.Code != 503 || a.RetryAfter != 2 || string(a.Body) != "POST /work {}" {
 		t.Errorf("%+v, %v", a, err)
 	}
-	if reached, workers, err := c.Ping(ctx, "n0"); err != nil || !reached || workers != 7 {
-		t.Errorf("%v %d %v", reached, workers, err)
+	if p, err := c.Ping(ctx, "n0"); err != nil || p != (Pinged{true, 7, true}) {
+		t.Errorf("%+v %v", p, err)
+	}
+	if code, body, err := c.Report(ctx, []byte("{}")); err != nil || code != 421 || string(body) != "answer to {}" {
+		t.Errorf("%d %s %v", code, body, err)
 	}
 	if err := c.Resign(ctx, 9); err != nil || h.ended != 9 {
 		t.Errorf("ended %d, %v", h.ended, err)
