--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -118,6 +118,8 @@
 
 	seenAt     model.Micros // when seen was last cleared of those that are gone
 	routes     map[string]route
+	homeAt     model.Micros // workers asked to come here themselves since then
+	home       int
 	relays     []string // siblings that hand reports on
 	relayNext  int
 	relayNotBy model.Micros // no report is handed on before
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -67,7 +67,11 @@
 
 // askHome tells that a worker whose report was handed on had better come itself.
 func (c *controller) askHome(host string) bool {
-	if c.set.Params.Quota.FDLimit > 0 && c.crowd() >= crowdHome {
+	if c.now-c.homeAt >= model.Second {
+		c.homeAt, c.home = c.now, 0
+	}
+	// Those asked a moment ago are still on their way.
+	if limit := c.set.Params.Quota.FDLimit; limit > 0 && float64(c.direct()+c.home) >= crowdHome*float64(limit) {
 		return false
 	}
 	r := c.routes[host]
@@ -76,6 +80,7 @@
 	}
 	r.asked = c.now
 	c.routes[host] = r
+	c.home++
 	return true
 }
 
