Urgent jobs with a deadline alone have others stopped after a quarter of their spare time

Cause: a pipeline's jobs have the last one's rank and deadline but no start aim of their own, so they waited 180 s before work of lower rank made room.

Not built: renting for the next stages of pipelines before these may begin.

--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -747,6 +747,10 @@
 			}
 			return p * 2 / 5
 		}
+		if j.Due > 0 && j.Rank >= model.Urgent {
+			// What is urgent by its deadline alone has what is left of it after its run.
+			return min(180*model.Second, max(0, j.Due-h.Expected(j.Job))/4)
+		}
 		return 180 * model.Second
 	}
 	h.drains(w.Jobs, now)
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -600,6 +600,26 @@
 	}
 }
 
+// What is urgent for its deadline alone, as a pipeline's jobs are, has others stopped
+// after a quarter of the time that it can spare, and not before.
+func TestUrgentByDeadline(t *testing.T) {
+	for _, at := range []model.Micros{4 * sec, 12 * sec} {
+		h := newHolder(5)
+		low := job("j-1", 4, model.Sweep)
+		low.Rank, low.Owner = model.Idle, "blue"
+		h.AddJob(low, model.Set{}, "", 0, 0)
+		w := newWorker(h, "h1", "box", "a")
+		w.starts()
+		due := job("j-2", 1, model.Sweep)
+		due.Rank, due.Class, due.Guess, due.Due = model.Urgent, "due", 10*sec, 50*sec
+		h.AddJob(due, model.Set{}, "", 0, 0)
+		_, orders := w.says(at, 5, running(h, "h1")...)
+		if n := verbs(orders, "stop"); n != map[model.Micros]int{4 * sec: 0, 12 * sec: 1}[at] {
+			t.Errorf("%d stopped at %.0f s for a job that can spare 40 s", n, at.Seconds())
+		}
+	}
+}
+
 // A machine on which tasks run far longer than expected gets work last.
 func TestSlowMachineIsNoticed(t *testing.T) {
 	h := newHolder(5)
