--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -19,6 +19,7 @@
 	Lease    model.Micros
 	GangWait model.Micros
 	MaxValue int                       // bytes of a bundle
+	Dense    bool                      // bundles are written in the dense form
 	Waits    map[string][]model.Micros // by class: the times within which its tasks are to start, ascending
 	Finish   map[string][]model.Micros // by class: the times within which its jobs are to be done, ascending
 	// Deadlines are, by class, the multiples of their deadline by which its jobs are
@@ -99,7 +100,9 @@
 	again  []Write        // bundles whose last write may yet be carried out late
 	opened int            // bundles begun since the slots were last recounted
 	labels map[string]int // bytes of names
-	runs   map[string]*runStat
+	// firstTry is no larger than any attempt bound now, as of the last look.
+	firstTry uint64
+	runs     map[string]*runStat
 
 	keeps map[*model.JobState][]place.Keep
 	loads map[string]load // by class, of the last round
@@ -107,7 +110,7 @@
 
 // New makes a holder with nothing in it.
 func New(p Params, token uint64) *Holder {
-	return &Holder{P: p, Token: token, Jobs: map[string]*model.JobState{}, Hosts: map[string]*model.Host{},
+	return &Holder{P: p, Token: token, firstTry: token << 20, Jobs: map[string]*model.JobState{}, Hosts: map[string]*model.Host{},
 		Used: map[string]model.Need{}, Flavors: map[string]*model.Flavor{}, Log: func(Event) {},
 		queued: map[string]bool{}, liveAt: map[string]int{}, copies: map[string]int{}, labels: map[string]int{}, runs: map[string]*runStat{}, keeps: map[*model.JobState][]place.Keep{}}
 }
@@ -795,4 +798,5 @@
 		}
 		h.forget(js)
 	}
+	h.oldest()
 }
--- /dev/null
+++ b/internal/core/block/dense_test.go
@@ -0,0 +1,103 @@
+package block
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"woadweir/internal/core/model"
+)
+
+// What is written in the dense form is read as it was, takes no more than it was
+// thought to, and much less than in the plain form.
+func TestDenseBundles(t *testing.T) {
+	rng := rand.New(rand.NewPCG(3, 4))
+	plainBytes, denseBytes := 0, 0
+	for round := range 200 {
+		h := newHolder(uint64(5 + rng.IntN(100_000)))
+		h.P.MaxValue, h.P.Dense = 1920, true
+		for k := range 1 + rng.IntN(4) {
+			h.AddJob(job(fmt.Sprintf("j-%06d", rng.IntN(1_000_000)*10+k), 1+rng.IntN(200), model.Sweep), model.Set{}, "", 0, 0)
+		}
+		for i := range 1 + rng.IntN(12) {
+			ref := fmt.Sprintf("host-%06d", rng.IntN(3000))
+			m := h.AddHost(ref, []string{"box", "big \"<type>"}[i%2], "a", i%3 == 0, 0)
+			for _, js := range h.Jobs {
+				for range rng.IntN(4) {
+					if len(js.Waiting) > 0 {
+						h.bind(js, js.Waiting[0], m, h.NextTry()-uint64(rng.IntN(2))<<20, 0)
+					}
+				}
+				if js.Done.Add(rng.IntN(js.Pieces)) {
+					h.pushDone(js, 0)
+				}
+			}
+			h.touch(m)
+		}
+		h.oldest()
+		for h.Queued() > 0 {
+			ws := h.Writes(5, 48<<10)
+			if len(ws) == 0 {
+				t.Fatalf("round %d: nothing is written of %d", round, h.Queued())
+			}
+			for _, w := range ws {
+				rec := w.Value.(BundleRecord)
+				raw, err := json.Marshal(rec)
+				if err != nil || len(raw) > w.size || len(raw) > h.P.MaxValue {
+					t.Fatalf("%d bytes, thought to be %d: %v", len(raw), w.size, err)
+				}
+				denseBytes += len(raw)
+				var back BundleRecord
+				if err := json.Unmarshal(raw, &back); err != nil || !back.Dense {
+					t.Fatalf("read back: %v", err)
+				}
+				// Both as plain JSON.
+				rec.Dense, back.Dense = false, false
+				want, _ := json.Marshal(rec)
+				got, _ := json.Marshal(back)
+				plainBytes += len(want)
+				if !bytes.Equal(want, got) {
+					t.Fatalf("%s is read as %s", want, got)
+				}
+				var plain BundleRecord
+				if err := json.Unmarshal(want, &plain); err != nil || plain.Dense {
+					t.Fatalf("the plain form: %v", err)
+				}
+			}
+			h.Committed(ws, 0)
+		}
+	}
+	if denseBytes*2 > plainBytes {
+		t.Errorf("%d bytes, %d in the plain form", denseBytes, plainBytes)
+	}
+}
+
+// What is no dense bundle is refused, whatever it is.
+func TestDenseGarbage(t *testing.T) {
+	good := BundleRecord{Dense: true, Hosts: map[string]*HostRecord{"h1": {Build: "box", Yard: "a", Pieces: map[string][][2]uint64{"j-1": {{3, 70}}}}, "h2": nil},
+		Done: map[string][]byte{"j-1": {7}}}
+	packed := good.pack()
+	rng := rand.New(rand.NewPCG(5, 6))
+	for n := range packed {
+		var b BundleRecord
+		if b.unpack(packed[:n]) == nil {
+			t.Errorf("the first %d of %d bytes are taken", n, len(packed))
+		}
+	}
+	for range 20_000 {
+		bad := bytes.Clone(packed)
+		for range 1 + rng.IntN(3) {
+			bad[rng.IntN(len(bad))] = byte(rng.Uint32())
+		}
+		var b BundleRecord
+		_ = b.unpack(bad) // whatever comes of it, it comes to an end
+	}
+	for _, s := range []string{`{"hosts":"!"}`, `{"hosts":"AA=="}`, `{"hosts":""}`, `{"hosts":[]}`, `{"hosts":7}`} {
+		var b BundleRecord
+		if json.Unmarshal([]byte(s), &b) == nil {
+			t.Errorf("%s is taken", s)
+		}
+	}
+}
--- a/internal/core/block/writes.go
+++ b/internal/core/block/writes.go
@@ -24,6 +24,8 @@
 type BundleRecord struct {
 	Hosts map[string]*HostRecord `json:"hosts,omitempty"`
 	Done  map[string][]byte      `json:"done,omitempty"` // job -> bit set of finished tasks
+	// Dense has it written in the dense form.
+	Dense bool `json:"-"`
 }
 
 // PartMark stands between a job and the number of a part of its finished tasks. A
@@ -79,6 +81,7 @@
 	Slot  int    // of a bundle, if Key is empty
 	Value any
 	vers  map[string]uint64 // the entries, with the versions that the value has
+	known map[string]bool   // names in the tables of the dense form
 	size  int
 	// lost tells that the same write got no answer before, and may yet be carried out
 	// late.
@@ -208,7 +211,12 @@
 	if h.P.MaxValue == 0 {
 		return model.MaxPieces
 	}
-	left := h.P.MaxValue - h.P.MaxValue/carryShare - bytesBundle - h.hostBytes(m) - bytesPerJob - len(j.Ref)
+	left := h.P.MaxValue - h.P.MaxValue/carryShare - h.bundleBytes()
+	if h.P.Dense {
+		left -= h.denseSize(HostEntry+m.Ref, nil) + inBase64(denseJob+denseName(j.Ref, nil))
+		return max(0, left*3/4/h.denseTask(j.Pieces, (h.Token+1)<<20))
+	}
+	left -= h.hostBytes(m) + bytesPerJob + len(j.Ref)
 	return max(0, left/taskBytes(j.Pieces, (h.Token+1)<<20))
 }
 
@@ -234,8 +242,22 @@
 	return js, k
 }
 
-// size is what an entry takes in a bundle.
-func (h *Holder) size(entry string) int {
+// bundleBytes is what a bundle takes beside its entries.
+func (h *Holder) bundleBytes() int {
+	if h.P.Dense {
+		return denseBundle
+	}
+	return bytesBundle
+}
+
+// size is what an entry takes in a bundle of its own.
+func (h *Holder) size(entry string) int { return h.sizeIn(entry, nil) }
+
+// sizeIn is what an entry takes in a bundle that has the known names in its tables.
+func (h *Holder) sizeIn(entry string, known map[string]bool) int {
+	if h.P.Dense {
+		return h.denseSize(entry, known)
+	}
 	if ref, ok := strings.CutPrefix(entry, HostEntry); ok {
 		if m := h.Hosts[ref]; m != nil {
 			return h.hostBytes(m)
@@ -315,11 +337,12 @@
 // open begins a bundle for an entry of that size, in the slot that has least to be
 // carried along. A new slot is added when all are rather full.
 func (h *Holder) open(taken map[int]bool, size int) *Write {
-	most := max(0, min(h.P.MaxValue/carryShare, h.P.MaxValue-bytesBundle-size))
+	most := max(0, min(h.P.MaxValue/carryShare, h.P.MaxValue-h.bundleBytes()-size))
 	best := h.emptiest(taken)
 	if best >= 0 && h.slots[best].live > most && h.opened > len(h.slots)/4 {
 		// What has ended since may be all that fills them.
 		h.opened = 0
+		h.oldest()
 		for k := range h.slots {
 			h.recount(k)
 		}
@@ -338,7 +361,7 @@
 	}
 	h.opened++
 	taken[best] = true
-	w := &Write{Slot: best, vers: map[string]uint64{}, size: bytesBundle}
+	w := &Write{Slot: best, vers: map[string]uint64{}, known: map[string]bool{}, size: h.bundleBytes()}
 	entries, _ := h.carried(best)
 	slices.Sort(entries)
 	for _, e := range entries {
@@ -376,7 +399,8 @@
 // include puts an entry's present value into a bundle.
 func (h *Holder) include(w *Write, entry string) {
 	rec, _ := w.Value.(BundleRecord)
-	size := h.size(entry)
+	rec.Dense = h.P.Dense
+	size := h.sizeIn(entry, w.known)
 	if ref, ok := strings.CutPrefix(entry, HostEntry); ok {
 		m := h.Hosts[ref]
 		others := h.copies[entry]
@@ -409,6 +433,7 @@
 	}
 	w.Value = rec
 	w.size += size
+	h.learnNames(entry, w.known)
 }
 
 func record(m *model.Host) *HostRecord {
@@ -457,7 +482,7 @@
 			continue
 		}
 		size := h.size(entry)
-		if bytesBundle+size > h.P.MaxValue && strings.HasPrefix(entry, HostEntry) {
+		if h.bundleBytes()+size > h.P.MaxValue && strings.HasPrefix(entry, HostEntry) {
 			// A machine on which a holder with larger values has bound more than a value
 			// bears now. It gets nothing new, so it will fit; until then a new holder finds
 			// pieces on it that are gone, which it has to see for itself.
@@ -465,7 +490,11 @@
 			used++
 			continue
 		}
+		if cur != nil {
+			size = h.sizeIn(entry, cur.known)
+		}
 		if cur == nil || cur.size+size > h.P.MaxValue {
+			size = h.size(entry)
 			if len(ws) >= ops || bytes < size {
 				break
 			}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -63,6 +63,28 @@
 	return err == nil && len(raw) <= c.maxValue()
 }
 
+// denseBelow is the size of values from which on the plain form of bundles is dense
+// enough.
+const denseBelow = 8 << 10
+
+// dense tells whether bundles are to be written in the dense form: values are small,
+// and all controllers read it. A controller that has once had a version with it never
+// comes back with one before, so having seen each once is enough, or what somebody has
+// written who has.
+func (c *controller) dense() bool {
+	if c.maxValue() >= denseBelow {
+		return false
+	}
+	for name, l := range c.view.Layouts {
+		c.layouts[name] = max(c.layouts[name], l)
+	}
+	all := c.layouts[c.set.NodeName] >= state.Layout
+	for _, s := range c.set.Siblings {
+		all = all && c.layouts[s.NodeName] >= state.Layout
+	}
+	return all || c.view.Newest >= state.Layout
+}
+
 // tighten makes what is written smaller, after the state service has refused as too
 // large what the settings allow.
 func (c *controller) tighten(err error) {
@@ -119,7 +141,8 @@
 
 	seenAt     model.Micros // when seen was last cleared of those that are gone
 	routes     map[string]route
-	homeAt     model.Micros // workers asked to come here themselves since then
+	layouts    map[string]int // of the nodes' processes, the newest seen of each
+	homeAt     model.Micros   // workers asked to come here themselves since then
 	home       int
 	relays     []string // siblings that hand reports on
 	relayNext  int
@@ -137,7 +160,7 @@
 	limits := set.StateLimits()
 	gap := model.Seconds(float64(nodes) / (syncShare * limits.RPS))
 	c := &controller{set: set, limits: limits, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
-		syncGap: max(syncLeast, gap), seen: map[string]model.Micros{}, routes: map[string]route{}, view: state.NewView(), wantList: true,
+		syncGap: max(syncLeast, gap), seen: map[string]model.Micros{}, routes: map[string]route{}, layouts: map[string]int{}, view: state.NewView(), wantList: true,
 		wall: func() int64 { return time.Now().UnixMilli() }}
 	c.budget = state.NewBudget(c.writeShare(false))
 	return c
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -88,7 +88,7 @@
 	c := l.c
 	w := c.set.Params.Workers
 	l.h = block.New(block.Params{Teams: c.teams, Report: model.Seconds(w.ReportS), Lease: model.Seconds(w.LeaseS),
-		GangWait: model.Seconds(w.GangWaitS), Margin: model.Second, MaxValue: c.maxValue(),
+		GangWait: model.Seconds(w.GangWaitS), Margin: model.Second, MaxValue: c.maxValue(), Dense: c.dense(),
 		Waits: c.set.Waits(), Finish: c.set.Finish(), Deadlines: c.set.Deadlines(), Guarantee: c.set.Guarantee()}, l.token)
 	l.h.Log = logEvent
 	l.h.SetFlavors(c.view.Flavors)
@@ -196,6 +196,7 @@
 	if n < 1 {
 		return
 	}
+	l.h.P.Dense = c.dense()
 	ws := l.h.Writes(n, maxTxnBytes)
 	if len(ws) == 0 {
 		return
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -93,7 +93,7 @@
 	case lead.CallPut:
 		var res *state.Result
 		res, err = s.state.Commit(&state.Txn{Guards: []state.Guard{{Path: key, Stamp: call.Stamp}},
-			Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID, Serve: s.serve}, Tenancy: call.ID}}}, patience)
+			Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID, Serve: s.serve, Layout: state.Layout}, Tenancy: call.ID}}}, patience)
 		if err == nil && !res.OK {
 			r.Outcome = lead.Conflict
 		}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -93,7 +93,12 @@
 }
 
 func simSettings(name string) *config.Settings {
-	s := &config.Settings{NodeName: name, ServeOn: "10.0.0.1:8080", Siblings: make([]config.Sibling, 2)}
+	s := &config.Settings{NodeName: name, ServeOn: "10.0.0.1:8080"}
+	for _, n := range []string{"node-0", "node-1", "node-2"} {
+		if n != name && len(s.Siblings) < 2 {
+			s.Siblings = append(s.Siblings, config.Sibling{NodeName: n})
+		}
+	}
 	s.Params.Teams = []config.Team{{Name: "red", CPUs: 20, CPUsMax: 40, GPUs: 4, GPUsMax: 8}, {Name: "blue", CPUs: 20, CPUsMax: 30, GPUs: 0, GPUsMax: 4}}
 	p := &s.Params
 	p.Workers.ReportS, p.Workers.LeaseS, p.Workers.GangWaitS, p.Workers.GangPeerS, p.Workers.CancelS = 2.5, 18, 30, 5, 38
@@ -318,7 +323,7 @@
 			case lead.CallPut:
 				var res *state.Result
 				res, err = n.w.state.Commit(n.name, &state.Txn{Guards: []state.Guard{{Path: key, Stamp: call.Stamp}},
-					Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID}, Tenancy: call.ID}}})
+					Then: []state.Op{{Set: key, Value: n.nodeRecord(call.ID), Tenancy: call.ID}}})
 				if err == nil && !res.OK {
 					r.Outcome = lead.Conflict
 				}
@@ -335,6 +340,14 @@
 	})
 }
 
+func (n *simNode) nodeRecord(session uint64) state.NodeRecord {
+	r := state.NodeRecord{Session: session, Layout: state.Layout}
+	if n.old {
+		r.Layout = 0
+	}
+	return r
+}
+
 func (n *simNode) sessionReply(r lead.Reply, life int) {
 	if !n.alive || n.life != life {
 		return
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -221,10 +221,15 @@
 	}
 }
 
-// As long as nothing new is asked, production can read all that is written, and
-// loses nothing that it knows of when it writes it again.
+// As long as one controller may run production, it can read all that the others
+// write, and loses nothing that it knows of when it writes it again. Once none may,
+// records get denser; at these it would stop instead of misreading them.
 func TestProductionReadsWhatIsWritten(t *testing.T) {
 	w := newDeployment(t, 51, nextSettings, capacity(4, 2))
+	last := w.nodes[2]
+	last.crash()
+	last.old = true
+	last.start()
 	for i := range 8 {
 		w.submit(sweepJob(i, 6, 8), model.Micros(i%3)*10*model.Second)
 		w.submit(gangJob(20+i, 1+i%3, 8), 0)
@@ -255,7 +260,44 @@
 	if len(seen) != 6 {
 		t.Errorf("only records of %v", seen)
 	}
+	last.crash()
+	last.old = false
+	last.start()
+	w.submit(sweepJob(50, 10, 20), 0)
+	refused := 0
+	w.until(30*model.Second, "something dense is written", func() bool {
+		es, _, err := w.state.List("node-0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range es {
+			if _, err := asProduction(e.Path, e.Value); err != nil {
+				refused++
+				if !strings.HasPrefix(e.Path, "bound/") {
+					t.Fatal(err)
+				}
+			}
+		}
+		return refused > 0
+	})
+	// A leader that has not seen the others goes by what is written.
+	for _, n := range w.nodes {
+		n.crash()
+	}
+	w.nodes[0].start()
+	w.led(20 * model.Second)
+	if !w.nodes[0].ctl.dense() {
+		t.Error("a leader alone writes the plain form again")
+	}
+	w.nodes[1].start()
+	w.nodes[2].start()
+	w.Run(w.Now + 90*model.Second)
 	w.check()
+	for ref := range w.rules.Accepted {
+		if w.rules.Ended(ref) == "" {
+			t.Errorf("%s never ended", ref)
+		}
+	}
 }
 
 // Old and new version serve, lead and hold side by side under failures, and then
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -17,8 +17,14 @@
 type NodeRecord struct {
 	Session uint64 `json:"session"`
 	Serve   string `json:"serve"`
+	// Layout tells which layout of records the process can read, see Layout.
+	Layout int `json:"layout,omitempty"`
 }
 
+// Layout is the newest layout of records that this version reads: 2 has dense
+// bundles. Nothing beyond what all controllers read is written.
+const Layout = 2
+
 // LeaderRecord is the leader's key, attached to its session.
 type LeaderRecord struct {
 	Node    string `json:"node"`
@@ -71,6 +77,10 @@
 	Leader  *LeaderRecord
 	Grants  map[string]*GrantRecord
 	Flavors []model.Flavor
+	// Layouts are those of the nodes' processes, as far as they are told, and Newest
+	// what is sure to be read by all, as somebody has written it already.
+	Layouts map[string]int
+	Newest  int
 
 	entries map[string]*entryView // by name, see block.BundleRecord.Names
 	bound   map[string]int        // bound pieces by job
@@ -80,7 +90,7 @@
 
 // NewView makes an empty view.
 func NewView() *View {
-	return &View{Stamps: map[string]uint64{}, Jobs: map[string]*JobView{}, Grants: map[string]*GrantRecord{},
+	return &View{Layouts: map[string]int{}, Stamps: map[string]uint64{}, Jobs: map[string]*JobView{}, Grants: map[string]*GrantRecord{},
 		entries: map[string]*entryView{}, bound: map[string]int{}, bundles: map[string]*bundleView{}}
 }
 
@@ -131,6 +141,10 @@
 		var r FlavorsRecord
 		err, rec = read(&r), r
 	case kind == "node":
+		var r NodeRecord
+		if read(&r) == nil {
+			v.Layouts[rest] = r.Layout
+		}
 		v.Stamps[path] = stamp
 		return true, nil
 	default:
@@ -345,6 +359,9 @@
 			v.ended(j, stamp)
 		}
 	case block.BundleRecord:
+		if x.Dense {
+			v.Newest = Layout
+		}
 		v.putBundle(path, &x, stamp)
 	case LeaderRecord:
 		v.Leader = &x
