--- a/internal/core/block/block.go
+++ b/internal/core/block/block.go
@@ -130,17 +130,15 @@
 	}
 	js := &model.JobState{Job: j, Done: done, Ended: ended, Bound: map[int][]*model.Bound{}, SeenAt: now - age, IdleAt: now - age}
 	js.Parts = make([]model.Versions, 1)
-	if h.parted(j) {
-		js.Parts = make([]model.Versions, model.Parts(j.Pieces))
+	if h.parted(j) && ended == "" {
+		// What is done may stand in a whole that is too large to be written again.
+		h.split(js)
 	}
 	if ended == "" {
 		js.Waiting = make([]int, 0, j.Pieces-done.Len())
 		for i := range j.Pieces {
 			if !done.Has(i) {
 				js.Waiting = append(js.Waiting, i)
-			} else if len(js.Parts) > 1 && js.Parts[i/model.PartPieces].Now == 0 {
-				// It may stand in a whole that is too large to be written again.
-				h.pushDone(js, i)
 			}
 		}
 		if done.Len() >= j.Pieces {
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -1,8 +1,11 @@
 package block
 
 import (
+	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"slices"
+	"strings"
 	"testing"
 
 	"woadweir/internal/core/model"
@@ -1095,3 +1098,68 @@
 		}
 	}
 }
+
+// The finished tasks of a job that is too large for a value are stored in parts, and
+// what an earlier holder stored as a whole is kept until all of it stands in parts: at
+// no moment does a reader miss a completion that it could see before. A holder with
+// larger values reads the parts, and so on to and fro.
+func TestPartsOfALargeJob(t *testing.T) {
+	const pieces = 20_000
+	j := job("j-1", pieces, model.Sweep)
+	stored := map[int]BundleRecord{}
+	var order []int // slots as they were last written
+	store := func(ws []Write) {
+		for _, w := range ws {
+			stored[w.Slot] = w.Value.(BundleRecord)
+			order = append(slices.DeleteFunc(order, func(k int) bool { return k == w.Slot }), w.Slot)
+		}
+	}
+	read := func() (s model.Set) {
+		for _, b := range stored {
+			s.Merge(b.Done["j-1"], 0)
+			for k := range model.Parts(pieces) {
+				s.Merge(b.Done[strings.TrimPrefix(PartEntry("j-1", k), DoneEntry)], k*model.PartPieces)
+			}
+		}
+		return s
+	}
+	rng := rand.New(rand.NewPCG(1, 2))
+	for token, limit := range []int{28_000, 1_900, 28_000, 1_900, 1_200} {
+		h := newHolder(uint64(token + 5))
+		h.P.MaxValue, h.P.Dense = limit, token == 3
+		js := h.AddJob(j, read(), "", 0, 0)
+		for _, k := range order {
+			b := stored[k]
+			h.LoadSlot(k, b.Names())
+		}
+		for round := range 60 {
+			before := read()
+			for range 20 {
+				h.complete(model.PieceID{Job: "j-1", N: rng.IntN(pieces)}, nil, sec)
+			}
+			ws := h.Writes(3, 48<<10)
+			for _, w := range ws {
+				raw, err := json.Marshal(w.Value)
+				if err != nil || len(raw) > limit {
+					t.Fatalf("a value of %d bytes where %d are borne: %v", len(raw), limit, err)
+				}
+			}
+			store(ws)
+			h.Committed(ws, sec)
+			after := read()
+			for n := range pieces {
+				if before.Has(n) && !after.Has(n) {
+					t.Fatalf("limit %d, round %d: the completion of %d was there and is gone", limit, round, n)
+				}
+			}
+		}
+		for h.Queued() > 0 {
+			ws := h.Writes(3, 48<<10)
+			store(ws)
+			h.Committed(ws, sec)
+		}
+		if s := read(); s.Len() != js.Done.Len() || s.Len() < 1000 {
+			t.Fatalf("%d of %d completions are stored", s.Len(), js.Done.Len())
+		}
+	}
+}
--- a/internal/core/block/writes.go
+++ b/internal/core/block/writes.go
@@ -274,8 +274,8 @@
 	return doneBytes(js.Job, len(js.Done.Bytes()))
 }
 
-// push notes that finished tasks of a job are to be written: the part of them that
-// piece n is in.
+// pushDone notes that finished tasks of a job are to be written: the part of them
+// that piece n is in.
 func (h *Holder) pushDone(js *model.JobState, n int) {
 	if len(js.Parts) == 1 {
 		js.Parts[0].Now++
@@ -287,6 +287,26 @@
 	h.push(PartEntry(js.Ref, k))
 }
 
+// versions are those of a part of a job's finished tasks, or of the whole (-1). There
+// are none if the job is stored in the other form: such an entry is one of a holder
+// that had other limits, and is only carried along.
+func versions(js *model.JobState, part int) *model.Versions {
+	if (part < 0) != (len(js.Parts) == 1) {
+		return nil
+	}
+	return &js.Parts[max(part, 0)]
+}
+
+// split has a job's finished tasks stored in parts from now on.
+func (h *Holder) split(js *model.JobState) {
+	js.Parts = make([]model.Versions, model.Parts(js.Pieces))
+	for k := range js.Parts {
+		if slices.ContainsFunc(js.Done.Part(k), func(b byte) bool { return b != 0 }) {
+			h.pushDone(js, k*model.PartPieces)
+		}
+	}
+}
+
 // settled tells that the completion of a task is durable, or will be with the
 // job's end.
 func settled(js *model.JobState, n int) bool {
@@ -422,11 +442,13 @@
 		if rec.Done == nil {
 			rec.Done = map[string][]byte{}
 		}
-		name := strings.TrimPrefix(entry, DoneEntry)
-		if k < 0 {
-			rec.Done[name], w.vers[entry] = slices.Clone(js.Done.Bytes()), js.Parts[0].Now
-		} else {
-			rec.Done[name], w.vers[entry] = slices.Clone(js.Done.Part(k)), js.Parts[k].Now
+		bits := js.Done.Bytes()
+		if k >= 0 {
+			bits = js.Done.Part(k)
+		}
+		rec.Done[strings.TrimPrefix(entry, DoneEntry)], w.vers[entry] = slices.Clone(bits), 0
+		if v := versions(js, k); v != nil {
+			w.vers[entry] = v.Now
 		}
 	} else {
 		return
@@ -460,7 +482,7 @@
 	}
 	var ws []*Write
 	// Ends first: users, and jobs that await these, wait for them. They need no order
-	// among the rest, as nothing of an ended job is bound any more.
+	// among the rest: whatever is still booked of such a job has completed.
 	for len(h.ends) > 0 && len(ws) < ops && bytes >= maxEndBytes {
 		ref := h.ends[0]
 		h.ends = h.ends[1:]
@@ -481,6 +503,10 @@
 			used++
 			continue
 		}
+		if js, k := h.partOf(entry); js != nil && versions(js, k) == nil {
+			used++ // its parts are queued
+			continue
+		}
 		size := h.size(entry)
 		if h.bundleBytes()+size > h.P.MaxValue && strings.HasPrefix(entry, HostEntry) {
 			// A machine on which a holder with larger values has bound more than a value
@@ -550,9 +576,10 @@
 				if m := h.Hosts[ref]; m != nil {
 					m.DurableVer, m.Stored = max(m.DurableVer, ver), true
 				}
-			} else if js, k := h.partOf(e); js != nil && (k >= 0 || len(js.Parts) == 1) {
-				v := &js.Parts[max(k, 0)]
-				v.Stored = max(v.Stored, ver)
+			} else if js, k := h.partOf(e); js != nil {
+				if v := versions(js, k); v != nil {
+					v.Stored = max(v.Stored, ver)
+				}
 			}
 		}
 		h.LoadSlot(w.Slot, names)
@@ -562,6 +589,11 @@
 // Recut takes back changes that were refused as too large: they are cut anew, by
 // MaxValue as it is now. Earlier tries at them will not be carried out any more.
 func (h *Holder) Recut(ws []Write) {
+	for _, js := range h.Jobs {
+		if len(js.Parts) == 1 && h.parted(js.Job) {
+			h.split(js)
+		}
+	}
 	for i := range ws {
 		ws[i].lost = false
 	}
