--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -1137,7 +1137,7 @@
 			for range 20 {
 				h.complete(model.PieceID{Job: "j-1", N: rng.IntN(pieces)}, nil, sec)
 			}
-			ws := h.Writes(3, 48<<10)
+			ws := h.Writes(1, 48<<10)
 			for _, w := range ws {
 				raw, err := json.Marshal(w.Value)
 				if err != nil || len(raw) > limit {
