--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -440,3 +440,41 @@
 	})
 	w.check()
 }
+
+// What was accepted under larger limits can be cancelled under smaller ones, and a
+// leader can be elected though the limits of all teams do not fit into its grant.
+func TestSmallValuesBearWhatMatters(t *testing.T) {
+	many := func(name string) *config.Settings {
+		s := nextSettings(name)
+		for i := range 60 {
+			s.Params.Teams = append(s.Params.Teams, config.Team{Name: fmt.Sprintf("team-%d-of-many", i), CPUsMax: 10})
+		}
+		return s
+	}
+	w := newDeployment(t, 54, many, capacity(4, 2))
+	for _, n := range w.nodes {
+		n.crash()
+		n.old = true
+		n.start()
+	}
+	w.led(10 * model.Second)
+	long := sweepJob(1, 4, 60)
+	long.Bundle = strings.Repeat("x", 5000)
+	u := w.submit(long, 0)
+	w.until(60*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 4 })
+	for _, n := range w.nodes {
+		n.crash()
+		n.old = false
+		n.start()
+	}
+	w.state.Fall(2, 5, 18)
+	w.led(20 * model.Second)
+	w.rules.Ask(long.Ref)
+	u.withdraw()
+	w.until(10*model.Second, "it is cancelled", func() bool { return w.rules.Ended(long.Ref) == "withdrawn" })
+	w.until(38*model.Second, "nothing of it is left", func() bool { return w.rules.OnMachine() == 0 })
+	if w.state.TooBig > 0 {
+		t.Errorf("%d transactions were too large", w.state.TooBig)
+	}
+	w.check()
+}
