--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -133,23 +133,23 @@
 
 	stateBad bool // the last catch-up failed
 	pinging  bool
-	pingAt   model.Micros            // when siblings were last asked
-	pingedAt model.Micros            // when they last answered
-	alive    int                     // siblings that answered
-	helpers  []string                // siblings that reach the state service
-	seen     map[string]model.Micros // when workers reported here last, not through a sibling
-
-	seenAt     model.Micros // when seen was last cleared of those that are gone
+	pingAt   model.Micros   // when siblings were last asked
+	pingedAt model.Micros   // when they last answered
+	alive    int            // siblings that answered
+	helpers  []string       // siblings that reach the state service
+	cutPings int            // pings in a row that spoke for resigning
+	layouts  map[string]int // of the nodes' processes, the newest seen of each
+
+	// Workers that report here themselves, and reports that are handed on.
+	seen       map[string]model.Micros // when they reported here last
+	seenAt     model.Micros            // when seen was last cleared of those that are gone
 	routes     map[string]route
-	layouts    map[string]int // of the nodes' processes, the newest seen of each
-	homeAt     model.Micros   // workers asked to come here themselves since then
-	home       int
-	relays     []string // siblings that hand reports on
+	homeAt     model.Micros // home counts from then
+	home       int          // workers that were asked to come here themselves
+	relays     []string     // siblings that hand reports on
 	relayNext  int
 	relayNotBy model.Micros // no report is handed on before
 
-	cutPings int // pings in a row that spoke for resigning
-
 	leading *leadership
 }
 
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -136,6 +136,15 @@
 	return s
 }
 
+// production has all nodes run the version in production.
+func (w *world) production() {
+	for _, n := range w.nodes {
+		n.crash()
+		n.old = true
+		n.start()
+	}
+}
+
 // replace ends a node and has it come back with the new version.
 func (n *simNode) replace() {
 	n.crash()
@@ -307,11 +316,7 @@
 func TestUpgradeUnderFailures(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newDeployment(t, rapid.Uint64().Draw(rt, "seed"), sockets(rapid.SampledFrom([]int{0, 14}).Draw(rt, "sockets"), nextSettings), capacity(4, 2))
-		for _, n := range w.nodes {
-			n.crash()
-			n.old = true
-			n.start()
-		}
+		w.production()
 		var us []*user
 		for i := range 14 {
 			w.At(w.Between(0, 110*model.Second), func() {
@@ -379,11 +384,7 @@
 // it left is worked off, and nothing is lost or stuck.
 func TestLimitsFallDuringATakeover(t *testing.T) {
 	w := newDeployment(t, 52, nextSettings, capacity(6, 2))
-	for _, n := range w.nodes {
-		n.crash()
-		n.old = true
-		n.start()
-	}
+	w.production()
 	var us []*user
 	for i := range 3 {
 		s := sweepJob(i, 400, 25)
@@ -452,11 +453,7 @@
 		return s
 	}
 	w := newDeployment(t, 54, many, capacity(4, 2))
-	for _, n := range w.nodes {
-		n.crash()
-		n.old = true
-		n.start()
-	}
+	w.production()
 	w.led(10 * model.Second)
 	long := sweepJob(1, 4, 60)
 	long.Bundle = strings.Repeat("x", 5000)
