--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -85,3 +85,32 @@
 	}
 	w.check()
 }
+
+// Machines that can't reach the leader, but a sibling of it, as when two zones are
+// cut from each other, are served through that sibling within their lease.
+func TestZonesCutFromEachOther(t *testing.T) {
+	w := newWorld(t, 73)
+	for i := range 4 {
+		w.submit(sweepJob(i, 8, 90), 0)
+	}
+	w.until(60*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 20 })
+	l := w.leader()
+	ws := w.cloud.Workers()
+	for i, x := range ws {
+		if i%2 == 0 {
+			w.away[x.Ref] = l.name
+		}
+	}
+	w.Run(w.Now + 40*model.Second)
+	if n := w.rules.OnMachine(); n != 20 || w.leader() != l {
+		t.Errorf("%d of 20 tasks are left, another leads: %v", n, w.leader() != l)
+	}
+	for _, x := range ws {
+		if m := l.ctl.leading.h.Hosts[x.Ref]; m.Lost || w.Now-m.Heard > 8*model.Second {
+			t.Errorf("%s was heard %.1f s ago", x.Ref, (w.Now - m.Heard).Seconds())
+		}
+	}
+	clear(w.away)
+	w.Run(w.Now + 60*model.Second)
+	w.check()
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -74,13 +74,14 @@
 	// settings are read by a node whenever it starts.
 	settings func(name string) *config.Settings
 
-	cut     map[string]bool // machines whose reports wait until the cut ends
-	late    []func()        // these reports
-	deaf    map[string]bool // machines whose reports arrive, but which hear nothing
-	copies  float64         // chance that a report arrives once more, up to copyLate later
-	repeats float64         // chance that a request to the state service is carried out once more
-	relayed int             // reports that were handed on and answered
-	heard   []func()        // every report as it was delivered, if record is set
+	cut     map[string]bool   // machines whose reports wait until the cut ends
+	late    []func()          // these reports
+	away    map[string]string // machines that can't reach the node
+	deaf    map[string]bool   // machines whose reports arrive, but which hear nothing
+	copies  float64           // chance that a report arrives once more, up to copyLate later
+	repeats float64           // chance that a request to the state service is carried out once more
+	relayed int               // reports that were handed on and answered
+	heard   []func()          // every report as it was delivered, if record is set
 	record  bool
 }
 
@@ -134,7 +135,7 @@
 }
 
 func newDeployment(t *testing.T, seed uint64, settings func(name string) *config.Settings, capacity map[string]int) *world {
-	w := &world{Sim: standin.NewSim(seed), t: t, settings: settings, deaf: map[string]bool{}, cut: map[string]bool{}}
+	w := &world{Sim: standin.NewSim(seed), t: t, settings: settings, away: map[string]string{}, deaf: map[string]bool{}, cut: map[string]bool{}}
 	w.state = standin.NewState(w.Sim)
 	set := settings("")
 	w.rules = standin.NewRules(w.Sim, set.Teams(), model.Seconds(set.Params.Workers.CancelS))
@@ -161,6 +162,9 @@
 
 func (w *world) Checkin(x *standin.Worker, node string, body []byte, answer func(int, []byte)) {
 	n := w.nodes[slices.Index(w.Nodes(), node)]
+	if w.away[x.Ref] == node {
+		return
+	}
 	if w.deaf[x.Ref] {
 		answer = func(int, []byte) {}
 	}
