--- a/internal/state/pipeline_test.go
+++ b/internal/state/pipeline_test.go
@@ -157,16 +157,37 @@
 	}
 }
 
-func BenchmarkDeepChainEnds(b *testing.B) {
-	b.ReportAllocs()
-	for range b.N {
-		v := NewView()
-		v.puts(spec("j-0"))
-		for i := range 1000 {
-			v.puts(spec(fmt.Sprintf("j-%d", i+1), fmt.Sprintf("j-%d", i)))
+func BenchmarkPipelines(b *testing.B) {
+	const n = 1000
+	refs := make([]string, n+1)
+	for i := range refs {
+		refs[i] = fmt.Sprintf("j-%06d", i)
+	}
+	b.Run("chain", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			v := NewView()
+			v.puts(spec(refs[0]))
+			for i := range n {
+				v.puts(spec(refs[i+1], refs[i]))
+			}
+			for i := range n {
+				v.puts(done(refs[i], 1))
+			}
 		}
-		for i := range 1000 {
-			v.puts(done(fmt.Sprintf("j-%d", i), 1))
+	})
+	b.Run("fans", func(b *testing.B) {
+		b.ReportAllocs()
+		for range b.N {
+			v := NewView()
+			v.puts(spec("j-first"))
+			for i := range n {
+				v.puts(spec(refs[i], "j-first"))
+			}
+			v.puts(spec("j-last", refs[:n]...), done("j-first", 1))
+			for i := range n {
+				v.puts(done(refs[i], 1))
+			}
 		}
-	}
+	})
 }
