--- a/internal/node/awaits_test.go
+++ b/internal/node/awaits_test.go
@@ -238,7 +238,7 @@
 }
 
 // The watch of the rules sees what it is there for.
-func TestRulesOfPipelinesCatchBreaches(t *testing.T) {
+func TestRulesCatchBreaches(t *testing.T) {
 	w := newWorld(t, 67)
 	w.led(10 * model.Second)
 	w.Run(w.Now + 3*model.Second)
@@ -254,4 +254,19 @@
 	w.rules.Ask(first.Ref)
 	(&user{w: w, sub: first}).withdraw()
 	w.until(60*model.Second, "orphaned", func() bool { return broken("orphaned") })
+	// Nobody is left to answer, and no trouble is said to be the reason.
+	w.submit(sweepJob(2, 1, 300), 0)
+	w.until(20*model.Second, "it is accepted", func() bool { return w.rules.Accepted[sweepJob(2, 1, 1).Ref] })
+	w.rules.Calm = w.Now
+	for _, n := range w.nodes {
+		n.crash()
+	}
+	w.Run(w.Now + 70*model.Second)
+	if broken("forgotten") {
+		t.Error("forgotten too early")
+	}
+	w.Run(w.Now + 15*model.Second)
+	if !broken("forgotten") {
+		t.Error("forgotten is not seen")
+	}
 }
--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -80,6 +80,7 @@
 			}
 			clear(w.deaf)
 			w.copies, w.repeats = 0, 0
+			w.rules.Calm = w.Now
 		})
 		w.Run(500 * model.Second)
 		if len(w.rules.Broken) > 0 {
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -360,6 +360,7 @@
 			}
 			clear(w.deaf)
 			w.copies = 0
+			w.rules.Calm = w.Now
 		})
 		w.Run(520 * model.Second)
 		if len(w.rules.Broken) > 0 {
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -24,6 +24,8 @@
 	toldAt    map[string]model.Micros
 	Accepted  map[string]bool
 	Awaits    map[string][]string // by job: the jobs that it names
+	Calm      model.Micros        // when all troubles were over, 0: not yet
+	answered  map[string]model.Micros
 	Starts    int
 }
 
@@ -31,9 +33,13 @@
 func NewRules(sim *Sim, teams map[string]*model.Team, cancel model.Micros) *Rules {
 	return &Rules{sim: sim, Teams: teams, Cancel: cancel, Subs: map[string]*model.Job{}, on: map[model.PieceID]map[*Task]bool{},
 		used: map[string]model.Need{}, completed: map[model.PieceID]bool{}, cancelled: map[string]model.Micros{},
-		told: map[string]string{}, toldAt: map[string]model.Micros{}, Accepted: map[string]bool{}, Awaits: map[string][]string{}}
+		told: map[string]string{}, toldAt: map[string]model.Micros{}, Accepted: map[string]bool{}, Awaits: map[string][]string{}, answered: map[string]model.Micros{}}
 }
 
+// forgottenAfter is how long no question about an accepted job may stay without an
+// answer once all troubles are over, however others fare.
+const forgottenAfter = 75 * model.Second
+
 func (r *Rules) broken(format string, args ...any) {
 	r.Broken = append(r.Broken, fmt.Sprintf("%.3f ", r.sim.Now.Seconds())+fmt.Sprintf(format, args...))
 }
@@ -128,8 +134,12 @@
 		}
 		return
 	case code != 200 && code != 201:
+		if r.Accepted[ref] && r.Calm > 0 && r.sim.Now-max(r.Calm, r.answered[ref]) > forgottenAfter {
+			r.broken("forgotten: no question about %s is answered", ref)
+		}
 		return
 	}
+	r.answered[ref] = r.sim.Now
 	j := r.Subs[ref]
 	if j == nil {
 		r.broken("invented: %s", ref)
