--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -76,7 +76,7 @@
 	for i := range 4 {
 		w.submit(sweepJob(i, 8, 60), 0)
 	}
-	w.until(60*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 20 })
+	w.running(20)
 	was := w.rules.OnMachine()
 	w.leader().workers = false
 	w.Run(w.Now + 25*model.Second)
@@ -93,7 +93,7 @@
 	for i := range 4 {
 		w.submit(sweepJob(i, 8, 90), 0)
 	}
-	w.until(60*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 20 })
+	w.running(20)
 	l := w.leader()
 	ws := w.cloud.Workers()
 	for i, x := range ws {
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -459,7 +459,7 @@
 	long := sweepJob(1, 4, 60)
 	long.Bundle = strings.Repeat("x", 5000)
 	u := w.submit(long, 0)
-	w.until(60*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 4 })
+	w.running(4)
 	for _, n := range w.nodes {
 		n.crash()
 		n.old = false
