Renting: room in a zone that is closed to a job's tasks is none for them

Cause: the renting loop put waiting tasks into any room it saw, whatever apart and samePlace leave to them. The second replica of a service that has to be apart so waited for ever beside room in the first one's zone, and nothing was rented elsewhere; likewise a gang that has to be together beside room that is split over zones. Test: TestRoomInTheWrongZoneIsNone.

--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"woadweir/internal/core/model"
+	"woadweir/internal/core/place"
 )
 
 // Params are the settings of the loop, some of them the operators' own.
@@ -128,27 +129,27 @@
 	var tasks []homeless
 	var none futile
 	for _, d := range in.Waiting {
-		n := d.Count
 		hopeless := none.has(d.Job, 1)
+		lim := limits(d.Job)
+		if d.Job.SamePlace && !hopeless {
+			lim.choose(slots, d)
+		}
+		n := d.Count
 		for _, s := range slots {
 			if n == 0 || hopeless {
 				break
 			}
-			if !d.Job.Allows(s.offer.Build, s.offer.Yard, s.offer.Spot) || !suits(d.Job, s) {
-				continue
-			}
-			k := d.Job.Need.Count(s.free, n)
-			if k > 0 {
-				s.free = s.free.Minus(d.Job.Need.Times(k))
+			if k := lim.count(s, n); k > 0 {
+				lim.take(s, k)
 				s.used = true
 				n -= k
 			}
 		}
 		if n > 0 {
-			if !hopeless {
-				none = append(none, homeless{d, n})
+			if !hopeless && !lim.bound() {
+				none = append(none, homeless{d, n, lim})
 			}
-			tasks = append(tasks, homeless{d, n})
+			tasks = append(tasks, homeless{d, n, lim})
 			out.Homeless += n
 		}
 	}
@@ -183,19 +184,29 @@
 				if n == 0 {
 					break
 				}
-				if k := t.d.Job.Need.Count(s.free, n); k > 0 && t.d.Job.Allows(s.offer.Build, s.offer.Yard, s.offer.Spot) {
-					s.free = s.free.Minus(t.d.Job.Need.Times(k))
+				if k := t.lim.count(s, n); k > 0 {
+					t.lim.take(s, k)
 					n -= k
 				}
 			}
 			if n == 0 {
 				break
 			}
-			s := l.cheapest(in, fresh, t.d.Job.Need, n, t.d.Job.Rank >= model.Urgent, t.d.Job.Allows)
+			s := l.cheapest(in, fresh, t.d.Job.Need, n, t.d.Job.Rank >= model.Urgent, t.lim.allows)
+			if s == nil && l.closed(in, t.lim) {
+				t.lim.elsewhere()
+				n = t.d.Count
+				continue
+			}
 			if s == nil {
-				none = append(none, homeless{t.d, n})
+				if !t.lim.bound() {
+					none = append(none, t)
+				}
 				break
 			}
+			if t.d.Job.SamePlace && len(t.d.Job.Bound) == 0 {
+				t.lim.only = s.offer.Yard
+			}
 			fresh = append(fresh, s)
 		}
 	}
@@ -244,8 +255,99 @@
 
 // homeless is a number of a job's tasks without a place.
 type homeless struct {
-	d Demand
-	n int
+	d   Demand
+	n   int
+	lim *yards
+}
+
+// yards are what the rules on zones leave to a job's waiting tasks. Room in a zone
+// that they may not use must not count as theirs: nothing would be rented for them
+// where they may go, and they would wait beside it for ever.
+type yards struct {
+	j    *model.JobState
+	left map[string]int // by yard, for those that were asked for
+	// only is the one zone that is considered for a job whose tasks have to be
+	// together and of which none is anywhere yet.
+	only string
+}
+
+func limits(j *model.JobState) *yards { return &yards{j: j, left: map[string]int{}} }
+
+// bound tells that such rules apply.
+func (y *yards) bound() bool { return y.j.SamePlace || y.j.Apart }
+
+// room is how many more tasks may go to a yard.
+func (y *yards) room(yard string) int {
+	if y.only != "" && yard != y.only {
+		return 0
+	}
+	n, ok := y.left[yard]
+	if !ok {
+		n = place.YardRoom(y.j, yard)
+		y.left[yard] = n
+	}
+	return n
+}
+
+// count is how many of n tasks may go to a machine.
+func (y *yards) count(s *slot, n int) int {
+	if !y.j.Allows(s.offer.Build, s.offer.Yard, s.offer.Spot) || s.h != nil && !suits(y.j, s) {
+		return 0
+	}
+	k := y.j.Need.Count(s.free, n)
+	if k > 0 && y.bound() {
+		k = min(k, y.room(s.offer.Yard))
+	}
+	return k
+}
+
+// take puts tasks on a machine.
+func (y *yards) take(s *slot, k int) {
+	s.free = s.free.Minus(y.j.Need.Times(k))
+	if y.bound() {
+		y.left[s.offer.Yard] -= k
+	}
+}
+
+// allows tells whether a machine of that kind may be rented.
+func (y *yards) allows(build, yard string, spot bool) bool {
+	return y.j.Allows(build, yard, spot) && (!y.bound() || y.room(yard) > 0)
+}
+
+// choose settles on the zone that has most room for tasks that have to be together.
+func (y *yards) choose(slots []*slot, d Demand) {
+	if len(y.j.Bound) > 0 {
+		return // they are where the others are
+	}
+	in := map[string]int{}
+	for _, s := range slots {
+		in[s.offer.Yard] += y.count(s, d.Count)
+	}
+	best := 0
+	for yard, n := range in {
+		if n > best || n == best && n > 0 && yard < y.only {
+			y.only, best = yard, n
+		}
+	}
+}
+
+// elsewhere gives the chosen zone up for any other: all tasks need a place there.
+func (y *yards) elsewhere() { y.left[y.only], y.only = 0, "" }
+
+// closed tells that nothing can be rented at present in the zone that was chosen for
+// tasks that have to be together.
+func (l *Loop) closed(in *Input, y *yards) bool {
+	if y.only == "" {
+		return false
+	}
+	for label, f := range in.Flavors {
+		for _, spot := range []bool{true, false} {
+			if f.In(y.only) && y.allows(label, y.only, spot) && y.j.Need.Fits(f.Size()) && in.Now >= l.refused[Offer{label, y.only, spot}] {
+				return false
+			}
+		}
+	}
+	return true
 }
 
 func (f futile) has(j *model.JobState, n int) bool {
--- a/internal/core/slack/slack_test.go
+++ b/internal/core/slack/slack_test.go
@@ -182,3 +182,42 @@
 		t.Fatalf("rents %+v for urgent work", out.Rent)
 	}
 }
+
+// Room in a zone that the rules on zones close to a job's tasks is none for them:
+// machines are rented where they may go. Once, the second replica of a service that has
+// to be apart waited beside such room for ever.
+func TestRoomInTheWrongZoneIsNone(t *testing.T) {
+	need := model.Need{Cores: 4000}
+	rent := func(l *Loop, d Demand) []Rental {
+		in := input(0, host("h1", "box", model.Need{}), host("h2", "box", model.Need{}))
+		in.Waiting = []Demand{d}
+		return l.Round(in).Rent
+	}
+	apart := demand(2, need, false)
+	apart.Job.Apart = true
+	if rs := rent(New(Defaults()), apart); len(rs) != 1 || rs[0].Yard != "b" || rs[0].Count != 1 {
+		t.Errorf("one of two may be in zone a, where there is room; rented %v", rs)
+	}
+	apart.Job.Bound = map[int][]*model.Bound{0: {{Host: &model.Host{Yard: "a"}}}}
+	apart.Count = 1
+	if rs := rent(New(Defaults()), apart); len(rs) != 1 || rs[0].Yard != "b" {
+		t.Errorf("the second of two, the first is in zone a; rented %v", rs)
+	}
+	together := demand(5, need, false)
+	together.Job.SamePlace = true
+	if rs := rent(New(Defaults()), together); len(rs) != 1 || rs[0].Yard != "a" || rs[0].Count != 1 {
+		t.Errorf("four of five that have to be together fit into zone a; rented %v", rs)
+	}
+	l := New(Defaults())
+	for _, build := range []string{"box", "gpu"} {
+		l.Refuse(Offer{build, "a", false}, 0)
+	}
+	if rs := rent(l, together); len(rs) != 1 || rs[0].Yard != "b" || rs[0].Count != 3 {
+		t.Errorf("nothing can be rented in zone a; rented %v", rs)
+	}
+	together.Job.Bound = map[int][]*model.Bound{0: {{Host: &model.Host{Yard: "b"}}}}
+	together.Count = 4
+	if rs := rent(New(Defaults()), together); len(rs) != 1 || rs[0].Yard != "b" || rs[0].Count != 2 {
+		t.Errorf("the first of five that have to be together is in zone b; rented %v", rs)
+	}
+}
