Session: two report periods are margin, given up where they leave none

With reports of 8 s, a lease of 38 s and 58 s for a cancellation the session was 2 s long. Safety needs session, lease, drift and two seconds within the time for a cancellation; the two report periods beyond that are margin. Now 8 s there. The other settings keep theirs.

--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -17,18 +17,25 @@
 }
 
 // margin covers what clocks and answers may be late by, and least is the shortest
-// session that can be kept.
+// session that can be kept. A steady one outlives a state service that is slow for a
+// while, and some requests that are lost.
 const (
 	margin = model.Second / 2
 	least  = 2 * model.Second
+	steady = 8 * model.Second
 )
 
 // Settle computes the session's length: authority, the worker's lease after it
 // and a margin have to end before cancel, and a dead holder's workers are to be
 // taken over before their lease is over, while the lease outlives an outage of
 // the state service. The operators' block lease is the upper bound.
+//
+// Two more report periods are kept free before cancel, where that leaves a steady
+// session: no rule needs them, but with long reports beside a short cancellation they
+// would leave one that a single lost request ends.
 func Settle(blockLease, lease, report, cancel model.Micros) Spans {
-	ttl := min(blockLease, lease-3*report, safest(lease, cancel)-2*report)
+	safe := safest(lease, cancel)
+	ttl := min(blockLease, lease-3*report, max(safe-2*report, min(safe, steady)))
 	return Spans{TTL: max(ttl, least), Margin: margin}
 }
 
