--- /dev/null
+++ b/internal/node/meetings_test.go
@@ -0,0 +1,885 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"woadweir/internal/config"
+	"woadweir/internal/core/lead"
+	"woadweir/internal/core/model"
+	"woadweir/internal/standin"
+	"woadweir/internal/userapi"
+)
+
+// Most rules that schedulers like this one broke were broken when two troubles met.
+// Each test here brings about one such meeting, asserts that it happened, and then that
+// the rules held and that the work was served. docs/meetings.md tells which points of
+// the safety argument carry them.
+
+// meeting is a world in which troubles meet.
+type meeting struct {
+	*world
+	us   []*user
+	next int
+}
+
+// workerTimes are settings of workers, in seconds.
+type workerTimes struct{ report, lease, cancel float64 }
+
+// The settings under which each meeting is brought about: short reports, and long ones
+// beside a short cancellation.
+var meetingTimes = []workerTimes{{2.5, 18, 38}, {8, 38, 58}}
+
+func (ts workerTimes) settings(name string) *config.Settings {
+	s := simSettings(name)
+	w := &s.Params.Workers
+	w.ReportS, w.LeaseS, w.CancelS = ts.report, ts.lease, ts.cancel
+	return s
+}
+
+func newMeeting(t *testing.T, ts workerTimes, seed uint64) *meeting {
+	m := &meeting{world: newDeployment(t, seed, ts.settings, capacity(4, 2))}
+	m.closeLooks = true
+	return m
+}
+
+func (m *meeting) lease() model.Micros  { return model.Seconds(m.nodes[0].set.Params.Workers.LeaseS) }
+func (m *meeting) report() model.Micros { return model.Seconds(m.nodes[0].set.Params.Workers.ReportS) }
+func (m *meeting) session() model.Micros {
+	return m.nodes[0].ctl.auth.Spans.TTL
+}
+
+func (m *meeting) add(s *model.Submission) *user {
+	u := m.submit(s, 0)
+	m.us = append(m.us, u)
+	return u
+}
+
+func (m *meeting) sweep(pieces int, guess float64) *user {
+	m.next++
+	return m.add(sweepJob(m.next, pieces, guess))
+}
+
+func (m *meeting) gang(pieces int, guess float64) *user {
+	m.next++
+	return m.add(gangJob(m.next, pieces, guess))
+}
+
+// load is a mixed load: what runs long, what is short, and a service.
+func (m *meeting) load() (long *user, gang *user, service *user) {
+	long, gang = m.sweep(6, 300), m.gang(3, 300)
+	s := sweepJob(500, 2, 0)
+	s.Shape, s.Rank, s.Loaners, s.Apart = "service", "critical", false, true
+	service = m.add(s)
+	for range 3 {
+		m.sweep(4, 20)
+	}
+	m.until(90*model.Second, "the load runs", func() bool {
+		return m.on(long) == 6 && m.on(gang) == 3 && m.on(service) == 2
+	})
+	return long, gang, service
+}
+
+func (m *meeting) on(u *user) int { return m.rules.OnMachineOf(u.sub.Ref) }
+
+func (m *meeting) ready() *simNode {
+	if l := m.leader(); l != nil && l.ctl.leading.ready {
+		return l
+	}
+	return nil
+}
+
+// leads waits until somebody leads and has taken over.
+func (m *meeting) leads() *simNode {
+	m.t.Helper()
+	m.led(60 * model.Second)
+	return m.ready()
+}
+
+// other is a node that is up and is not n.
+func (m *meeting) other(n *simNode) *simNode {
+	for _, o := range m.nodes {
+		if o != n && o.alive {
+			return o
+		}
+	}
+	m.t.Fatal("no other node is up")
+	return nil
+}
+
+// withdrawn waits until users were told that the jobs are withdrawn.
+func (m *meeting) withdrawn(limit model.Micros, us ...*user) {
+	m.t.Helper()
+	m.until(limit, "the cancellations are confirmed", func() bool {
+		for _, u := range us {
+			if m.rules.Ended(u.sub.Ref) != "withdrawn" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func (m *meeting) restart(n *simNode, after model.Micros) {
+	n.crash()
+	m.After(after, func() {
+		if !n.alive {
+			n.start()
+		}
+	})
+}
+
+// calm ends all troubles.
+func (m *meeting) calm() {
+	m.state.SetOutage(false)
+	for _, n := range m.nodes {
+		n.setCut(open)
+		n.workers, n.alone, n.hidden, n.blind = true, false, false, false
+		if !n.alive {
+			n.start()
+		}
+	}
+	clear(m.deaf)
+	clear(m.mute)
+	clear(m.cut)
+	m.reaches, m.lag, m.stateLag, m.lateWrites, m.copies, m.repeats = nil, 0, 0, 0, 0, 0
+	for _, x := range m.cloud.Workers() {
+		x.Hang(false)
+	}
+	m.rules.Calm = m.Now
+}
+
+// served ends all troubles and sees that the work is served: all that was accepted
+// comes to its end, nothing waits beside room, what comes anew runs, and the rules held.
+func (m *meeting) served() {
+	m.t.Helper()
+	m.calm()
+	m.sweep(3, 5)
+	m.gang(2, 5)
+	for _, u := range m.us {
+		if u.sub.Shape == "service" {
+			u.cancelAt = m.Now + 40*model.Second
+		}
+	}
+	limit := m.Now + 700*model.Second
+	for m.Now < limit && !m.allEnded() {
+		m.Run(m.Now + model.Second)
+		m.rules.Room(m.cloud.Workers())
+	}
+	m.check()
+	for _, u := range m.us {
+		if m.rules.Accepted[u.sub.Ref] && m.rules.Ended(u.sub.Ref) == "" {
+			m.t.Fatalf("%s never ended: %s", u.sub.Ref, m.describe())
+		}
+	}
+	if n := m.rules.CancelledStarts; n > 0 {
+		m.t.Logf("%d starts after a confirmed cancellation", n)
+	}
+}
+
+func (m *meeting) allEnded() bool {
+	for _, u := range m.us {
+		if m.rules.Accepted[u.sub.Ref] && m.rules.Ended(u.sub.Ref) == "" {
+			return false
+		}
+	}
+	return true
+}
+
+// over sees that nothing of the jobs is on machines once the time for a cancellation has
+// passed.
+func (m *meeting) over(us ...*user) {
+	m.t.Helper()
+	for _, u := range us {
+		m.Run(max(m.Now, m.rules.ToldAt(u.sub.Ref)+m.rules.Cancel))
+		if n := m.on(u); n > 0 {
+			m.t.Fatalf("%d tasks of %s are on machines %v after its cancellation", n, u.sub.Ref, m.Now-m.rules.ToldAt(u.sub.Ref))
+		}
+	}
+	m.check()
+}
+
+// refusedAlone has the state service refuse the leader alone, and jobs cancelled through
+// another controller before long has passed. Now and then an answer is lost on the way:
+// then another seed has to do.
+func refusedAlone(t *testing.T, ts workerTimes, seed uint64, alone bool, long model.Micros) (m *meeting, l *simNode, us []*user, cut model.Micros) {
+	for range 5 {
+		m = newMeeting(t, ts, seed)
+		seed += 1000
+		a, b, c := m.load()
+		us = []*user{a, b, c}
+		l = m.leads()
+		l.setCut(refused)
+		l.alone, cut = alone, m.Now
+		end := m.Now + min(long, 1800*model.Millisecond) - 50*model.Millisecond
+		m.Run(m.Now + 50*model.Millisecond)
+		if m.leader() != l {
+			t.Fatal("the leader does not act any more when the cancellations come")
+		}
+		for _, u := range us {
+			u.cancel(m.other(l))
+		}
+		m.Run(end)
+		told := 0
+		for _, u := range us {
+			if m.rules.Ended(u.sub.Ref) == "withdrawn" && m.on(u) > 0 {
+				told++
+			}
+		}
+		if told == len(us) {
+			return m, l, us, cut
+		}
+	}
+	for _, u := range us {
+		t.Logf("%s: %q, %d tasks", u.sub.Ref, m.rules.Ended(u.sub.Ref), m.on(u))
+	}
+	t.Fatalf("the cancellations are not confirmed in time, or nothing of the jobs runs\n%s", m.describe())
+	return nil, nil, nil, 0
+}
+
+// The state service refuses the leader alone; another controller confirms cancellations;
+// then it is down for all for longer than a cancellation may take, while the workers go on
+// reporting to the old leader. What this guards: authority rests on when the last good
+// touch and catch-up were sent, and the session is so short that with the workers' lease
+// after it all is over in time.
+func TestTheGap(t *testing.T) {
+	times := append([]workerTimes{{5, 26.5, 51.5}, {5, 26.5, 46.5}}, meetingTimes...)
+	for i, ts := range times {
+		session := lead.Settle(30*model.Second, model.Seconds(ts.lease), model.Seconds(ts.report), model.Seconds(ts.cancel)).TTL
+		// The outage begins at once, before, at and after the end of the old leader's session.
+		for k, until := range []model.Micros{model.Second, 2 * model.Second, session - model.Second/2, session, session + 2*model.Second} {
+			for _, v := range []struct {
+				name         string
+				alone, first bool // cut from its siblings; the first to come back
+				hang, mute   bool // machines of a cancelled job, or every other one
+				blind        bool // back first, its session renewed, without a catch-up for a while
+			}{{name: "plain"}, {name: "alone", alone: true}, {name: "back first", first: true}, {name: "hang", hang: true, alone: true}, {name: "mute", mute: true, first: true}, {name: "blind", blind: true, first: true}} {
+				t.Run(fmt.Sprintf("cancel %v outage after %.1f %s", ts.cancel, until.Seconds(), v.name), func(t *testing.T) {
+					t.Parallel()
+					m, l, cancelled, cut := refusedAlone(t, ts, uint64(100+i*10+k), v.alone, until)
+					if v.hang {
+						for j, x := range m.cloud.Workers() {
+							if x.Has(cancelled[0].sub.Ref) {
+								x.Hang(true)
+								m.After(m.lease()/2+model.Micros(j)*model.Second, func() { x.Hang(false) })
+							}
+						}
+					}
+					if v.mute {
+						for j, x := range m.cloud.Workers() {
+							m.mute[x.Ref] = j%2 == 0
+						}
+					}
+					m.Run(cut + until)
+					m.state.SetOutage(true)
+					m.Run(max(m.Now, cut+14*model.Second))
+					if !v.first {
+						l.setCut(open)
+					}
+					m.over(cancelled...)
+					m.Run(m.Now + m.rules.Cancel/4)
+					if v.first {
+						for _, n := range m.nodes {
+							if n != l {
+								n.setCut(refused)
+							}
+						}
+						l.setCut(open)
+						l.blind = v.blind
+					}
+					m.state.SetOutage(false)
+					if v.blind {
+						m.Run(m.Now + 2*m.session())
+						l.blind = false
+					}
+					m.Run(m.Now + 3*model.Second)
+					m.served()
+				})
+			}
+		}
+	}
+}
+
+// meetings are the others, in the order in which the users name them.
+var meetings = []struct {
+	name string
+	run  func(m *meeting)
+}{
+	{"all controllers away for longer than a lease", func(m *meeting) {
+		long, _, _ := m.load()
+		long.cancel(nil)
+		m.withdrawn(10*model.Second, long)
+		for _, n := range m.nodes {
+			n.crash()
+		}
+		m.Run(m.Now + m.lease() + m.report() + model.Second)
+		if n := m.rules.OnMachine(); n != 0 || m.leader() != nil {
+			m.t.Fatalf("%d tasks are on machines without a lease", n)
+		}
+		m.over(long)
+	}},
+	{"cancellations while work changes hands", func(m *meeting) {
+		long, gang, _ := m.load()
+		l := m.leads()
+		l.crash()
+		via := m.other(l)
+		long.cancel(via)
+		m.withdrawn(m.session(), long)
+		if m.ready() != nil {
+			m.t.Fatal("another leads already")
+		}
+		m.until(60*model.Second, "another leads", func() bool { return m.leader() != nil })
+		gang.cancel(m.other(m.leader()))
+		m.withdrawn(10*model.Second, gang)
+		m.over(long, gang)
+	}},
+	{"transactions carried out late, after newer ones", func(m *meeting) {
+		long, gang, _ := m.load()
+		m.lateWrites, m.lateBy = 0.4, m.afterNewer
+		m.sweep(8, 10)
+		m.gang(3, 10)
+		long.cancel(nil)
+		m.Run(m.Now + 15*model.Second)
+		m.restart(m.nodes[0], 300*model.Millisecond)
+		m.sweep(8, 10)
+		gang.cancel(nil)
+		m.Run(m.Now + 30*model.Second)
+		if m.arrivedLate < 10 {
+			m.t.Fatalf("only %d transactions came late", m.arrivedLate)
+		}
+	}},
+	{"a transaction is carried out and its answer lost, while others read", func(m *meeting) {
+		long, _, _ := m.load()
+		m.lateWrites, m.lateBy = 0.5, m.atOnce
+		for range 6 {
+			m.sweep(2, 5)
+		}
+		long.cancel(nil)
+		m.Run(m.Now + 20*model.Second)
+		if l := m.ready(); l != nil {
+			m.restart(l, 200*model.Millisecond)
+		}
+		m.Run(m.Now + 20*model.Second)
+		if m.wroteLate < 5 || m.looked < 50 {
+			m.t.Fatalf("%d transactions without an answer, %d looks", m.wroteLate, m.looked)
+		}
+	}},
+	{"more work than room, urgent and not, over slow links", func(m *meeting) {
+		m.load()
+		m.lag = 1500 * model.Millisecond
+		for i := range 6 {
+			m.sweep(12, 15)
+			u := m.gang(3, 15)
+			if i%2 == 0 {
+				u.then = func() { u.cancelAt = m.Now + 10*model.Second }
+			}
+			low := sweepJob(200+i, 8, 10)
+			low.Rank = "idle"
+			m.add(low)
+		}
+		m.until(60*model.Second, "there is more work than room", func() bool {
+			l := m.leads()
+			if l == nil {
+				return false
+			}
+			waiting := 0
+			for _, j := range l.ctl.leading.h.Jobs {
+				waiting += len(j.Waiting)
+			}
+			return waiting > 20
+		})
+		m.Run(m.Now + 60*model.Second)
+	}},
+	{"old reports reach every controller as a new leader begins", func(m *meeting) {
+		m.record = true
+		long, _, _ := m.load()
+		old := m.heard
+		m.record = false
+		l := m.leads()
+		l.crash()
+		long.cancel(m.other(l))
+		m.until(60*model.Second, "a new leader begins", func() bool { return m.leader() != nil })
+		for range 20 {
+			for _, tell := range old {
+				tell()
+			}
+			m.Run(m.Now + 100*model.Millisecond)
+		}
+		if len(old) < 20 || m.ready() == nil {
+			m.t.Fatalf("%d old reports", len(old))
+		}
+	}},
+	{"an answer is held up for seconds, and the machine then goes on", func(m *meeting) {
+		long, gang, _ := m.load()
+		m.lag = 3500 * model.Millisecond
+		m.sweep(8, 10)
+		m.Run(m.Now + m.report())
+		hung := 0
+		for i, x := range m.cloud.Workers() {
+			if x.Tasks() > 0 {
+				hung++
+				x.Hang(true)
+				m.After(model.Micros(2+i%8)*model.Second, func() { x.Hang(false) })
+			}
+		}
+		long.cancel(nil)
+		gang.cancel(nil)
+		m.withdrawn(15*model.Second, long, gang)
+		if hung < 3 {
+			m.t.Fatalf("%d machines hung", hung)
+		}
+		m.over(long, gang)
+	}},
+	{"a report is held back until a new leader has acted", func(m *meeting) {
+		long, _, _ := m.load()
+		for i, x := range m.cloud.Workers() {
+			m.cut[x.Ref] = i%2 == 0
+		}
+		m.sweep(6, 10)
+		m.Run(m.Now + m.report())
+		l := m.leads()
+		l.crash()
+		long.cancel(m.other(l))
+		m.until(60*model.Second, "a new leader has acted", func() bool {
+			n := m.ready()
+			return n != nil && n.ctl.leading.h.Queued() == 0 && len(n.ctl.leading.h.Hosts) > 0
+		})
+		m.Run(m.Now + m.report())
+		late := m.late
+		for _, f := range late {
+			f(m.leads())
+		}
+		clear(m.cut)
+		if len(late) == 0 {
+			m.t.Fatal("no report was held back")
+		}
+		m.Run(m.Now + 5*model.Second)
+	}},
+	{"jobs bound to one zone lose machines", func(m *meeting) {
+		yard := "a"
+		var bound []*user
+		for i := range 3 {
+			s := sweepJob(200+i, 6, 60)
+			if i == 2 {
+				s = gangJob(202, 3, 60)
+				s.SamePlace = true
+			}
+			s.Yard = &yard
+			bound = append(bound, m.add(s))
+		}
+		m.until(90*model.Second, "they run", func() bool { return m.on(bound[0]) > 0 && m.on(bound[2]) == 3 })
+		lost := 0
+		for i, x := range m.cloud.Workers() {
+			if x.Yard == yard && x.Tasks() > 0 && i%3 < 2 {
+				lost++
+				if i%3 == 0 {
+					x.Die()
+				} else {
+					x.Hang(true)
+				}
+			}
+		}
+		m.restart(m.leads(), 200*model.Millisecond)
+		bound[1].cancel(nil)
+		m.Run(m.Now + m.lease())
+		if lost < 2 {
+			m.t.Fatalf("%d machines were lost", lost)
+		}
+	}},
+	{"a team at its limit, machines that can't be asked, a cancellation, a new leader", func(m *meeting) { atTheLimit(m, "red") }},
+	{"a zone with workers and a controller is cut off for longer than a lease", func(m *meeting) {
+		long, _, service := m.load()
+		l := m.leads()
+		l.setCut(dropped)
+		l.alone, l.hidden = true, true
+		m.reaches = func(x *standin.Worker, n *simNode) bool { return (x.Yard == "a") == (n == l) }
+		via := m.other(l)
+		m.sweep(4, 10)
+		long.cancel(via)
+		service.cancel(via)
+		m.withdrawn(20*model.Second, long, service)
+		m.Run(m.Now + m.lease() + 2*model.Second)
+		if n := m.ready(); n == nil || n == l {
+			m.t.Fatal("no other leads")
+		}
+		m.over(long, service)
+	}},
+	{"jobs of two or three tasks end far apart across a change of leader", func(m *meeting) {
+		m.cloud.Run = func(*model.Job) model.Micros { return m.Between(2*model.Second, 50*model.Second) }
+		for i := range 8 {
+			m.sweep(2+i%2, 20)
+		}
+		changes := 0
+		for range 4 {
+			m.Run(m.Now + 12*model.Second)
+			if l := m.ready(); l != nil {
+				for _, u := range m.us {
+					s := l.ctl.view.Done(u.sub.Ref)
+					if n := s.Len(); n > 0 && n < u.sub.Pieces {
+						changes++
+					}
+				}
+				m.restart(l, 5*model.Second)
+			}
+		}
+		if changes == 0 {
+			m.t.Fatal("no job was half done at a change of leader")
+		}
+	}},
+	{"a leader ends while machines with long tasks can't be reached or don't hear", func(m *meeting) {
+		long, gang, _ := m.load()
+		unreached, unhearing := 0, 0
+		for i, x := range m.cloud.Workers() {
+			switch {
+			case x.Tasks() == 0:
+			case i%3 == 0:
+				m.mute[x.Ref] = true
+				unreached++
+			case i%3 == 1:
+				m.deaf[x.Ref] = true
+				unhearing++
+			}
+		}
+		l := m.leads()
+		l.crash()
+		m.until(60*model.Second, "another leads", func() bool { return m.ready() != nil })
+		gang.cancel(nil)
+		m.Run(m.Now + m.lease()/2)
+		clear(m.mute)
+		m.Run(m.Now + m.lease())
+		long.cancel(nil)
+		if unreached == 0 || unhearing == 0 {
+			m.t.Fatal("no such machines")
+		}
+		m.withdrawn(10*model.Second, long, gang)
+		m.over(long, gang)
+	}},
+	{"new machines are up at once while writes lag, and the leader ends", func(m *meeting) {
+		m.cloud.Quick = 1
+		m.led(10 * model.Second)
+		m.lateWrites, m.lateBy = 0.5, m.afterNewer
+		long := m.sweep(12, 200)
+		m.gang(3, 30)
+		quick := false
+		m.until(90*model.Second, "a new machine has work", func() bool {
+			for _, x := range m.cloud.Workers() {
+				quick = quick || x.Tasks() > 0
+			}
+			return quick
+		})
+		m.restart(m.leads(), 8*model.Second)
+		m.sweep(6, 10)
+		m.Run(m.Now + 30*model.Second)
+		long.cancel(nil)
+		m.Run(m.Now + 10*model.Second)
+		if m.arrivedLate == 0 {
+			m.t.Fatal("no write was late")
+		}
+	}},
+	{"the state service is slow, refuses the leader, then everybody, while users cancel and ask", func(m *meeting) {
+		long, gang, service := m.load()
+		m.stateLag = 700 * model.Millisecond
+		m.Run(m.Now + 5*model.Second)
+		m.until(30*model.Second, "somebody leads", func() bool { return m.leader() != nil })
+		l := m.leader()
+		l.setCut(refused)
+		for _, u := range []*user{long, gang, service} {
+			u.cancel(nil)
+		}
+		m.Run(m.Now + 1500*model.Millisecond)
+		m.state.SetOutage(true)
+		m.Run(m.Now + m.rules.Cancel + 10*model.Second)
+		m.rules.Check()
+		l.setCut(open)
+		m.state.SetOutage(false)
+		m.withdrawn(60*model.Second, long, gang, service)
+		m.over(long, gang, service)
+	}},
+	{"a leader alone with its workers and users, cancellations through the new one", func(m *meeting) {
+		long, gang, _ := m.load()
+		l := m.leads()
+		l.setCut(dropped)
+		l.alone = true
+		m.until(90*model.Second, "another leads", func() bool { n := m.ready(); return n != nil && n != l })
+		long.cancel(m.ready())
+		gang.cancel(m.ready())
+		m.withdrawn(10*model.Second, long, gang)
+		if l.cut != dropped || !l.alive {
+			m.t.Fatal("the old leader is back")
+		}
+		m.over(long, gang)
+	}},
+	{"old reports after newer ones, from earlier sessions and attempts", func(m *meeting) {
+		m.copies = 0.6
+		m.record = true
+		long, _, _ := m.load()
+		for i, x := range m.cloud.Workers() {
+			if i%2 == 0 {
+				x.Restart()
+			}
+		}
+		m.until(90*model.Second, "it runs again", func() bool { return m.on(long) == 6 })
+		old := m.heard
+		m.record = false
+		starts := m.rules.Starts
+		for _, tell := range old {
+			tell()
+		}
+		m.Run(m.Now + 3*m.report())
+		if len(old) < 20 || m.on(long) != 6 {
+			m.t.Fatalf("%d old reports, %d tasks, %d starts", len(old), m.on(long), m.rules.Starts-starts)
+		}
+	}},
+	{"leaders change ten times in two minutes, also inside an outage", func(m *meeting) {
+		m.load()
+		tokens := map[uint64]bool{}
+		end := m.Now + 120*model.Second
+		for i := 0; m.Now < end; i++ {
+			m.sweep(2, 5)
+			switch l := m.leader(); {
+			case l == nil:
+			case i%3 == 0:
+				l.setCut(refused)
+				m.After(4*model.Second, func() { l.setCut(open) })
+			default:
+				m.restart(l, m.Between(50*model.Millisecond, 2*model.Second))
+			}
+			if i == 4 {
+				m.state.SetOutage(true)
+				m.After(8*model.Second, func() { m.state.SetOutage(false) })
+			}
+			for range 10 {
+				m.Run(m.Now + 800*model.Millisecond)
+				if l := m.leader(); l != nil {
+					tokens[l.ctl.leading.token] = true
+				}
+			}
+		}
+		if len(tokens) < 10 {
+			m.t.Fatalf("only %d grants", len(tokens))
+		}
+	}},
+	{"workers reach no controller", func(m *meeting) {
+		long, gang, _ := m.load()
+		for i, x := range m.cloud.Workers() {
+			m.mute[x.Ref] = i%3 != 2
+		}
+		long.cancel(nil)
+		gang.cancel(nil)
+		m.withdrawn(10*model.Second, long, gang)
+		m.sweep(4, 10)
+		m.Run(m.Now + m.lease()/2)
+		m.restart(m.leads(), 300*model.Millisecond)
+		m.Run(m.Now + m.lease())
+		m.over(long, gang)
+	}},
+	{"every team at its limit, cancelled jobs on machines cut off or hanging, a new leader", func(m *meeting) { atTheLimit(m, "red", "blue") }},
+	{"controllers hand over and back, all end, and one returns, also within a second", func(m *meeting) {
+		m.load()
+		first := m.leads()
+		m.restart(first, 300*model.Millisecond)
+		m.until(60*model.Second, "somebody leads", func() bool { return m.ready() != nil })
+		second := m.leads()
+		second.setCut(refused)
+		m.until(60*model.Second, "another leads", func() bool { n := m.ready(); return n != nil && n != second })
+		second.setCut(open)
+		m.Run(m.Now + 2*model.Second)
+		m.sweep(4, 10)
+		for i, n := range m.nodes {
+			after := m.session() + model.Micros(8+i)*model.Second
+			if n == second {
+				after = 400 * model.Millisecond
+			}
+			m.restart(n, after)
+		}
+		// Another may have led; its session has to run out.
+		m.until(m.session()+6*model.Second, "the one that is back leads", func() bool { return m.ready() == second })
+		m.Run(m.Now + 15*model.Second)
+	}},
+	{"one-task jobs four a second, a quarter cancelled", func(m *meeting) {
+		m.led(10 * model.Second)
+		m.Run(m.Now + 5*model.Second)
+		for i := range 400 {
+			m.Run(m.Now + 250*model.Millisecond)
+			u := m.sweep(1, 4)
+			if i%4 == 0 {
+				u.then = func() { u.cancelAt = m.Now + m.Between(0, 8*model.Second) }
+			}
+			if i == 200 {
+				m.restart(m.leads(), 500*model.Millisecond)
+			}
+		}
+		m.Run(m.Now + 10*model.Second)
+		accepted := 0
+		for _, u := range m.us {
+			if u.accepted {
+				accepted++
+			}
+		}
+		if accepted < 380 {
+			m.t.Fatalf("%d of 400 are accepted", accepted)
+		}
+	}},
+	{"a cancellation, a question and a repetition meet the end of the last task", func(m *meeting) {
+		byRef := map[string]*user{}
+		met := 0
+		m.rules.Finished = func(ref string) {
+			u := byRef[ref]
+			if u == nil || !u.accepted {
+				return
+			}
+			u.look()
+			m.After(m.Between(0, 400*model.Millisecond), func() {
+				u.look()
+				if m.rules.Ended(ref) == "" {
+					met++
+					u.cancel(nil)
+				}
+			})
+		}
+		for i := range 12 {
+			u := m.sweep(1+i%3, 5)
+			byRef[u.sub.Ref] = u
+		}
+		m.Run(m.Now + 60*model.Second)
+		if met < 3 {
+			m.t.Fatalf("%d cancellations met the end of a job", met)
+		}
+	}},
+}
+
+// atTheLimit has teams use all that they may, and then a cancellation while machines
+// can't be asked and the leader changes: what is on those machines goes on counting.
+func atTheLimit(m *meeting, teams ...string) {
+	var cancelled, waiting []*user
+	for i, team := range teams {
+		most := int(m.rules.Teams[team].Max.Cores / 2000)
+		s := sweepJob(300+i, most, 400)
+		s.Owner = team
+		cancelled = append(cancelled, m.add(s))
+	}
+	m.until(120*model.Second, "the teams are at their limits", func() bool {
+		for _, team := range teams {
+			if m.rules.Used(team).Cores < m.rules.Teams[team].Max.Cores {
+				return false
+			}
+		}
+		return true
+	})
+	for i, team := range teams {
+		s := sweepJob(310+i, 6, 10)
+		s.Owner = team
+		waiting = append(waiting, m.add(s))
+	}
+	for i, x := range m.cloud.Workers() {
+		switch i % 3 {
+		case 0:
+			x.Hang(true)
+			m.After(m.lease()*3/4, func() { x.Hang(false) })
+		case 1:
+			m.mute[x.Ref] = true
+		}
+	}
+	m.restart(m.leads(), model.Second)
+	for _, u := range cancelled {
+		u.cancel(nil)
+	}
+	m.withdrawn(60*model.Second, cancelled...)
+	m.until(60*model.Second, "a new leader", func() bool { return m.ready() != nil })
+	m.restart(m.leads(), model.Second)
+	m.over(cancelled...)
+	m.until(150*model.Second, "what waited runs", func() bool {
+		for _, u := range waiting {
+			if m.rules.Ended(u.sub.Ref) != "done" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestMeetings(t *testing.T) {
+	for _, c := range meetings {
+		for i, ts := range meetingTimes {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%s/cancel %v seed %d", c.name, ts.cancel, seed), func(t *testing.T) {
+					t.Parallel()
+					m := newMeeting(t, ts, 1000+uint64(i)*100+seed)
+					c.run(m)
+					m.served()
+				})
+			}
+		}
+	}
+}
+
+// Odd requests get the answers that are published, on every node, and 503 where it can't
+// be known; none of them costs a write.
+func TestOddRequests(t *testing.T) {
+	m := newMeeting(t, meetingTimes[0], 77)
+	done, gone := m.sweep(1, 2), m.sweep(1, 300)
+	m.until(60*model.Second, "one is done", func() bool { return m.rules.Ended(done.sub.Ref) == "done" })
+	gone.cancel(nil)
+	m.withdrawn(10*model.Second, gone)
+	m.Run(m.Now + 20*model.Second)
+	ask := func(n *simNode, msg func(r chan<- userapi.Answer) any) userapi.Answer {
+		var got userapi.Answer
+		m.call(n, 2*model.Second, msg, func(a userapi.Answer) { got = a })
+		m.Run(m.Now + 2*model.Second)
+		return got
+	}
+	submit := func(change func(s *model.Submission)) func(chan<- userapi.Answer) any {
+		s := sweepJob(900, 1, 5)
+		change(s)
+		return func(r chan<- userapi.Answer) any { return msgSubmit{s.Ref, s, nil, r} }
+	}
+	cases := []struct {
+		name string
+		msg  func(chan<- userapi.Answer) any
+		code int
+	}{
+		{"unknown team", submit(func(s *model.Submission) { s.Owner = "nobody" }), 422},
+		{"too large for a machine", submit(func(s *model.Submission) { s.Cores = 1000 }), 422},
+		{"beyond the team's limit", submit(func(s *model.Submission) { s.Owner, s.GPUs, s.Shape, s.Pieces = "blue", 1, "gang", 5 }), 422},
+		{"no such type", submit(func(s *model.Submission) { s.Builds = []string{"none"} }), 422},
+		{"a field missing", func(r chan<- userapi.Answer) any {
+			_, ref, err := model.ParseSubmission([]byte(`{"ref":"j-000901","pieces":1}`))
+			return msgSubmit{ref, nil, err, r}
+		}, 400},
+		{"a job never submitted", func(r chan<- userapi.Answer) any { return msgPoll{"j-000999", r} }, 404},
+		{"cancelling one never submitted", func(r chan<- userapi.Answer) any { return msgWithdraw{"j-000999", r} }, 404},
+		{"cancelling a done job", func(r chan<- userapi.Answer) any { return msgWithdraw{done.sub.Ref, r} }, 200},
+		{"repeating a done job, altered", submit(func(s *model.Submission) { s.Ref, s.Owner = done.sub.Ref, "nobody" }), 200},
+		{"repeating a withdrawn job", submit(func(s *model.Submission) { s.Ref = gone.sub.Ref }), 200},
+	}
+	writes := 0
+	for _, n := range m.nodes {
+		n.intercept = func(c msgCommitted) bool {
+			if c.lane >= laneUsers {
+				writes++
+			}
+			return false
+		}
+	}
+	for _, c := range cases {
+		for _, n := range m.nodes {
+			if a := ask(n, c.msg); a.Code != c.code {
+				t.Errorf("%s: %s answers %d %s, want %d", c.name, n.name, a.Code, a.Body, c.code)
+			}
+		}
+	}
+	if writes != 0 {
+		t.Errorf("odd requests cost %d transactions", writes)
+	}
+	m.state.SetOutage(true)
+	m.Run(m.Now + 3*model.Second)
+	for _, c := range cases {
+		for _, n := range m.nodes {
+			a := ask(n, c.msg)
+			if ended := c.code == 200; ended != (a.Code == 200) || !ended && (a.Code != 503 || a.RetryAfter == 0) {
+				t.Errorf("%s, in an outage: %s answers %d %s", c.name, n.name, a.Code, a.Body)
+			}
+		}
+	}
+	m.check()
+}
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -13,6 +13,7 @@
 	Flavors  []model.Flavor
 	Capacity map[string]int // build/yard/spot -> machines at once
 	Down     bool
+	Quick    float64 // the chance that a machine is up within two seconds
 	Lag      model.Micros
 	Run      func(*model.Job) model.Micros
 	Times    Times
@@ -83,6 +84,9 @@
 			continue
 		}
 		m.up = c.sim.Now + c.sim.Between(model.Seconds(f.BootS*0.6), model.Seconds(f.BootS*1.5))
+		if c.Quick > 0 && c.sim.Chance(c.Quick) {
+			m.up = c.sim.Now + c.sim.Between(200*model.Millisecond, 2*model.Second)
+		}
 		c.sim.At(m.up, func() {
 			if !m.gone {
 				m.upWorker = true
