--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -224,17 +224,31 @@
 		TxnOps: min(now.TxnOps, next.TxnOps)}
 }
 
-// Teams converts the teams.
+// Teams converts the teams. A limit of 0, or none at all, is no limit: there are
+// deployments whose teams name GPUs alone, and whose tasks all use processors. Such a
+// team's guarantee does not ask for what it names neither in guarantee nor in limit.
 func (s *Settings) Teams() map[string]*model.Team {
 	m := map[string]*model.Team{}
 	for _, t := range s.Params.Teams {
-		m[t.Name] = &model.Team{Name: t.Name,
-			Guaranteed: model.Need{Cores: model.ToMilli(t.CPUs), GPUs: model.ToMilli(t.GPUs)},
-			Max:        model.Need{Cores: model.ToMilli(t.CPUsMax), GPUs: model.ToMilli(t.GPUsMax)}}
+		cores, coresMax := amounts(t.CPUs, t.CPUsMax)
+		gpus, gpusMax := amounts(t.GPUs, t.GPUsMax)
+		m[t.Name] = &model.Team{Name: t.Name, Guaranteed: model.Need{Cores: cores, GPUs: gpus}, Max: model.Need{Cores: coresMax, GPUs: gpusMax}}
 	}
 	return m
 }
 
+// amounts are a team's guarantee and limit of one kind.
+func amounts(guaranteed, most float64) (g, m model.Milli) {
+	g, m = model.ToMilli(guaranteed), model.ToMilli(most)
+	if m == 0 {
+		m = model.NoLimit
+		if g == 0 {
+			g = model.NoLimit
+		}
+	}
+	return g, m
+}
+
 // Waits gives, by class, the times within which its tasks are to start, ascending.
 func (s *Settings) Waits() map[string][]model.Micros { return s.within("wait") }
 
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -107,6 +107,10 @@
 	return f.Price
 }
 
+// NoLimit stands for a limit that there is not. It is far beyond all that can be had,
+// and far from overflow.
+const NoLimit Milli = 1 << 50
+
 // Team is what a team is guaranteed and limited to.
 type Team struct {
 	Name       string
