--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -6,6 +6,7 @@
 	"pgregory.net/rapid"
 
 	"woadweir/internal/core/model"
+	"woadweir/internal/standin"
 )
 
 // A quiet world runs everything, and gives machines back afterwards.
@@ -66,23 +67,29 @@
 			w.At(w.Between(0, 90*model.Second), func() { w.pipeline(100+10*i, cancel) })
 		}
 		for range rapid.IntRange(1, 10).Draw(rt, "faults") {
-			kind := rapid.IntRange(0, 13).Draw(rt, "kind")
+			kind := rapid.IntRange(0, faultKinds-1).Draw(rt, "kind")
 			at := w.Between(5*model.Second, calm-30*model.Second)
 			long := w.Between(model.Second, 30*model.Second)
 			w.At(at, func() { fault(w, kind, long) })
 		}
+		// Two or three that meet within seconds.
+		for range rapid.IntRange(0, 3).Draw(rt, "meetings") {
+			at := w.Between(20*model.Second, calm-40*model.Second)
+			for range rapid.IntRange(2, 3).Draw(rt, "met") {
+				kind := rapid.IntRange(0, faultKinds-1).Draw(rt, "kind")
+				w.At(at+w.Between(0, 3*model.Second), func() { fault(w, kind, w.Between(model.Second, 40*model.Second)) })
+			}
+		}
 		w.copies = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "copies")
 		w.repeats = rapid.SampledFrom([]float64{0, 0.05}).Draw(rt, "repeats")
-		w.At(calm, func() {
-			for _, n := range w.nodes {
-				n.setCut(open)
-				n.workers, n.alone = true, false
-			}
-			clear(w.deaf)
-			w.copies, w.repeats = 0, 0
-			w.rules.Calm = w.Now
-		})
-		w.Run(500 * model.Second)
+		w.closeLooks = rapid.Bool().Draw(rt, "looks")
+		w.At(calm, (&meeting{world: w}).calm)
+		w.Run(calm)
+		for w.Now < 500*model.Second {
+			w.Run(w.Now + model.Second)
+			w.rules.Room(w.cloud.Workers())
+		}
+		w.rules.Check()
 		if len(w.rules.Broken) > 0 {
 			rt.Fatalf("rules broken: %v", w.rules.Broken)
 		}
@@ -97,6 +104,9 @@
 	})
 }
 
+// faultKinds is the number of troubles that fault knows.
+const faultKinds = 20
+
 func fault(w *world, kind int, long model.Micros) {
 	n := w.nodes[w.Rng.IntN(len(w.nodes))]
 	if l := w.leader(); l != nil && w.Chance(0.7) {
@@ -168,6 +178,56 @@
 				x.Restart()
 			}
 		}
+	case 14:
+		for _, x := range ws {
+			if w.Chance(0.4) {
+				w.mute[x.Ref] = true
+				w.After(long, func() { delete(w.mute, x.Ref) })
+			}
+		}
+	case 15, 16:
+		w.lateWrites, w.lateBy = 0.4, w.afterNewer
+		if kind == 16 {
+			w.lateBy = w.atOnce
+		}
+		w.After(long, func() { w.lateWrites = 0 })
+	case 17: // many cancellations at once, and machines of these jobs hang
+		for _, u := range w.users {
+			if u.accepted && u.ended == "" && w.Chance(0.5) {
+				u.cancel(nil)
+				for _, x := range ws {
+					if x.Has(u.sub.Ref) && w.Chance(0.5) {
+						x.Hang(true)
+						w.After(long, func() { x.Hang(false) })
+					}
+				}
+			}
+		}
+	case 18: // a zone with its workers and a controller
+		n.setCut(dropped)
+		n.alone, n.hidden = true, true
+		w.reaches = func(x *standin.Worker, o *simNode) bool { return (x.Yard == "a") == (o == n) }
+		w.After(long, func() {
+			n.setCut(open)
+			n.alone, n.hidden = false, false
+			w.reaches = nil
+		})
+	case 19: // what workers reported until now comes once more, to all, as another leads
+		w.record = true
+		w.After(3*model.Second, func() {
+			old := w.heard
+			w.record, w.heard = false, nil
+			if l := w.leader(); l != nil {
+				restart(l)
+			}
+			for d := range model.Micros(8) {
+				w.After(d*2*model.Second, func() {
+					for _, tell := range old {
+						tell()
+					}
+				})
+			}
+		})
 	case 9:
 		for _, x := range ws {
 			switch {
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -74,6 +74,7 @@
 	cloud *standin.Cloud
 	rules *standin.Rules
 	nodes []*simNode
+	users []*user
 	// settings are read by a node whenever it starts.
 	settings func(name string) *config.Settings
 
@@ -608,6 +609,7 @@
 	if cancelAfter > 0 {
 		u.cancelAt = w.Now + cancelAfter
 	}
+	w.users = append(w.users, u)
 	u.post()
 	return u
 }
