A cancellation that waited its turn no longer writes over its job's end

A cancellation looks whether its job has ended when it comes in, and is written later: as all four transactions of users were on their way, it waited, and took its guard from a view that had the end by then. So the end was written twice, which the argument rules out ("a job's end is written once"). It now looks again when it is written.

Ruled out: the holder's ends (the holder is told of an end as the view takes it in) and acceptances (their guard is that there is no key). Test: TestQueuedCancellationMeetsTheEnd, seen failing without the mend.

--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -705,6 +705,12 @@
 	for i, u := range c.users {
 		var value any
 		var bytes int
+		if end, ended := c.view.Final(u.ref); ended && u.sub == nil {
+			// It ended while this cancellation waited its turn. The guard would hold against
+			// the end as the view has it by now, and the end would be written over.
+			u.answer(userapi.Accepted(200, u.ref, end))
+			continue
+		}
 		if u.sub != nil {
 			raw, err := json.Marshal(u.sub)
 			if err != nil {
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -427,3 +427,59 @@
 		t.Errorf("behind two slow transactions: %d", code)
 	}
 }
+
+// A cancellation that waits its turn, as all transactions of users are on their way
+// without an answer, finds its job ended when it is written: the end stays what it is.
+// Once it was written over, as the guard is taken from the view at that moment: the job
+// had been told done, and was told withdrawn from then on.
+func TestQueuedCancellationMeetsTheEnd(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newWorld(t, 60+seed)
+		u := w.submit(sweepJob(1, 2, 8), 0)
+		w.until(60*model.Second, "it runs", func() bool { return w.rules.OnMachine() == 2 })
+		n := w.nodes[0]
+		if n == w.leader() {
+			n = w.nodes[1]
+		}
+		blocked := true
+		var lanes []msgCommitted
+		n.intercept = func(m msgCommitted) bool {
+			if blocked && m.lane >= laneUsers {
+				lanes = append(lanes, m)
+				return true
+			}
+			return false
+		}
+		for i := range userLanes {
+			s := sweepJob(10+i, 1, 1)
+			n.ask(msgSubmit{s.Ref, s, nil, make(chan userapi.Answer, 1)}, nil)
+		}
+		if len(lanes) != userLanes {
+			t.Fatalf("%d transactions on their way", len(lanes))
+		}
+		w.Run(w.Now + 6*model.Second) // of eight
+		reply := make(chan userapi.Answer, 1)
+		w.rules.Ask(u.sub.Ref)
+		n.ask(msgWithdraw{u.sub.Ref, reply}, nil)
+		w.until(4*model.Second, "the end is written while the cancellation waits", func() bool {
+			_, ended := n.ctl.view.Final(u.sub.Ref)
+			return ended && len(n.ctl.users) > 0
+		})
+		blocked = false
+		for _, m := range lanes {
+			m.err = state.ErrLost
+			n.deliver(n.life, m)
+		}
+		w.until(3*model.Second, "the cancellation is answered", func() bool { return len(reply) == 1 })
+		if a := <-reply; a.Code != 200 || !strings.Contains(string(a.Body), "done") {
+			t.Errorf("seed %d: the cancellation of a done job is answered %d %s", seed, a.Code, a.Body)
+		}
+		for _, o := range w.nodes {
+			w.Run(w.Now + model.Second)
+			if end, _ := o.ctl.view.Final(u.sub.Ref); end != state.Done {
+				t.Errorf("seed %d: %s says %q of a done job", seed, o.name, end)
+			}
+		}
+		w.check()
+	}
+}
