--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -26,7 +26,6 @@
 	Awaits    map[string][]string // by job: the jobs that it names
 	Calm      model.Micros        // when all troubles were over, 0: not yet
 	answered  map[string]model.Micros
-	accepted  map[string]model.Micros // when a user was first told so
 	idleFrom  map[string]model.Micros // since when a job waits beside room
 	// Finished, if set, is called at the moment when a job's last task completes.
 	Finished func(ref string)
@@ -40,7 +39,7 @@
 func NewRules(sim *Sim, teams map[string]*model.Team, cancel model.Micros) *Rules {
 	return &Rules{sim: sim, Teams: teams, Cancel: cancel, Subs: map[string]*model.Job{}, on: map[model.PieceID]map[*Task]bool{},
 		used: map[string]model.Need{}, completed: map[model.PieceID]bool{}, cancelled: map[string]model.Micros{},
-		told: map[string]string{}, toldAt: map[string]model.Micros{}, Accepted: map[string]bool{}, Awaits: map[string][]string{}, answered: map[string]model.Micros{}, accepted: map[string]model.Micros{}, idleFrom: map[string]model.Micros{}}
+		told: map[string]string{}, toldAt: map[string]model.Micros{}, Accepted: map[string]bool{}, Awaits: map[string][]string{}, answered: map[string]model.Micros{}, idleFrom: map[string]model.Micros{}}
 }
 
 // forgottenAfter is how long no question about an accepted job may stay without an
@@ -90,20 +89,25 @@
 	if !r.Teams[j.Owner].Within(r.used[j.Owner]) {
 		r.broken("quota: %s uses %v", j.Owner, r.used[j.Owner])
 	}
-	if at, ok := r.toldAt[j.Ref]; ok && r.told[j.Ref] == "withdrawn" {
+	if r.told[j.Ref] == "withdrawn" {
 		r.CancelledStarts++
-		if r.sim.Now > at+r.Cancel {
-			r.broken("ran_cancelled: %s starts", t.id)
-		}
+	}
+	if r.overdue(j.Ref) {
+		r.broken("ran_cancelled: %s starts", t.id)
 	}
 }
 
+// overdue tells that a user was told of a job's cancellation so long ago that none of
+// its tasks may be on a machine any more.
+func (r *Rules) overdue(ref string) bool {
+	return r.told[ref] == "withdrawn" && r.sim.Now > r.toldAt[ref]+r.Cancel
+}
+
 // Check looks at what is on machines now: a task that never leaves would not be
 // noticed otherwise.
 func (r *Rules) Check() {
 	for id, ts := range r.on {
-		at, ok := r.toldAt[id.Job]
-		if !ok || r.told[id.Job] != "withdrawn" || r.sim.Now <= at+r.Cancel {
+		if !r.overdue(id.Job) {
 			continue
 		}
 		for t := range ts {
@@ -149,8 +153,8 @@
 	}
 	delete(r.on[t.id], t)
 	r.used[t.job.Owner] = r.used[t.job.Owner].Minus(t.job.Need)
-	if at, ok := r.toldAt[t.job.Ref]; ok && r.told[t.job.Ref] == "withdrawn" && r.sim.Now > at+r.Cancel {
-		r.broken("ran_cancelled: %s was on %s for %.1f s", t.id, t.w.Ref, (r.sim.Now - at).Seconds())
+	if r.overdue(t.job.Ref) {
+		r.broken("ran_cancelled: %s was on %s for %.1f s", t.id, t.w.Ref, (r.sim.Now - r.toldAt[t.job.Ref]).Seconds())
 	}
 }
 
@@ -161,7 +165,7 @@
 	}
 	switch {
 	case code == 404 || code == 400 || code == 422:
-		if r.Accepted[ref] && asked > r.accepted[ref] {
+		if r.Accepted[ref] {
 			r.broken("forgotten: %s answered %d", ref, code)
 		}
 		return
@@ -177,9 +181,7 @@
 		r.broken("invented: %s", ref)
 		return
 	}
-	if !r.Accepted[ref] {
-		r.Accepted[ref], r.accepted[ref] = true, r.sim.Now
-	}
+	r.Accepted[ref] = true
 	if old := r.told[ref]; old != "" && old != status {
 		r.broken("went_back: %s was %s, is %s", ref, old, status)
 	}
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -57,7 +57,7 @@
 		{"ran_cancelled", "a cancelled task never leaves", func(s *scene) { put(s, s.a, 0); withdraw(s); later(s, cancel+1); s.Check() }},
 		{"ran_cancelled", "a cancelled task starts late", func(s *scene) { withdraw(s); later(s, cancel+1); put(s, s.a, 0) }},
 		{"forgotten", "an accepted job is not found", func(s *scene) { accept(s); later(s, 1); s.tell(s.job.Ref, 404, "", s.sim.Now) }},
-		{"", "asked before it was accepted", func(s *scene) { accept(s); s.tell(s.job.Ref, 404, "", s.sim.Now) }},
+		{"forgotten", "an accepted job is not found, whenever that was asked", func(s *scene) { accept(s); s.tell(s.job.Ref, 404, "", s.sim.Now) }},
 		{"forgotten", "a repetition is refused", func(s *scene) { accept(s); later(s, 1); s.tell(s.job.Ref, 422, "", s.sim.Now) }},
 		{"", "no answer for 75 s", func(s *scene) {
 			accept(s)
