--- a/internal/cloud/cloud.go
+++ b/internal/cloud/cloud.go
@@ -26,22 +26,22 @@
 
 // Machine is a line of the machine list.
 type Machine struct {
-	Ref     string  `json:"ref"`
-	Address string  `json:"address"`
-	Build   string  `json:"build"`
-	Yard    string  `json:"yard"`
-	Loaners bool    `json:"loaners"`
-	Status  string  `json:"status"`
-	HeldS   float64 `json:"heldS"`
+	ID          string  `json:"ref"`
+	Address     string  `json:"address"`
+	MachineType string  `json:"build"`
+	Zone        string  `json:"yard"`
+	Spot        bool    `json:"loaners"`
+	Status      string  `json:"status"`
+	HeldS       float64 `json:"heldS"`
 }
 
 // Rental is a request for machines.
 type Rental struct {
-	Hire    string `json:"hire"`
-	Build   string `json:"build"`
-	Yard    string `json:"yard"`
-	Loaners bool   `json:"loaners"`
-	Count   int    `json:"count"`
+	RequestID   string `json:"hire"`
+	MachineType string `json:"build"`
+	Zone        string `json:"yard"`
+	Spot        bool   `json:"loaners"`
+	Count       int    `json:"count"`
 }
 
 func (c *Client) do(method, uri string, in, out any, timeout model.Micros) error {
@@ -68,10 +68,10 @@
 	})
 }
 
-// Flavors reads the machine types with their current prices.
-func (c *Client) Flavors(timeout model.Micros) ([]model.Flavor, error) {
+// MachineTypes reads the machine types with their current prices.
+func (c *Client) MachineTypes(timeout model.Micros) ([]model.MachineType, error) {
 	var out struct {
-		Builds []model.Flavor `json:"builds"`
+		Builds []model.MachineType `json:"builds"`
 	}
 	err := c.do("GET", "/flavors", nil, &out, timeout)
 	return out.Builds, err
@@ -111,6 +111,6 @@
 		if !out.HasNext || len(out.Hosts) == 0 {
 			return all, nil
 		}
-		from = out.Hosts[len(out.Hosts)-1].Ref
+		from = out.Hosts[len(out.Hosts)-1].ID
 	}
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -232,7 +232,7 @@
 	for _, t := range s.Params.Teams {
 		cores, coresMax := amounts(t.CPUs, t.CPUsMax)
 		gpus, gpusMax := amounts(t.GPUs, t.GPUsMax)
-		m[t.Name] = &model.Team{Name: t.Name, Guaranteed: model.Need{Cores: cores, GPUs: gpus}, Max: model.Need{Cores: coresMax, GPUs: gpusMax}}
+		m[t.Name] = &model.Team{Name: t.Name, Guaranteed: model.Resources{Cores: cores, GPUs: gpus}, Limit: model.Resources{Cores: coresMax, GPUs: gpusMax}}
 	}
 	return m
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -68,7 +68,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if tm := s.Teams()["red"]; tm.Max.Cores != 136_000 || tm.Max.GPUs != model.NoLimit || tm.Guaranteed.Cores != 64_000 {
+	if tm := s.Teams()["red"]; tm.Limit.Cores != 136_000 || tm.Limit.GPUs != model.NoLimit || tm.Guaranteed.Cores != 64_000 {
 		t.Errorf("team %+v", tm)
 	}
 	if w := s.Waits()["c"]; len(w) != 2 || w[0] != 8*model.Second || w[1] != 18*model.Second {
@@ -189,12 +189,12 @@
 			t.Fatalf("%q: %v", lines, err)
 		}
 		team := s.Teams()[s.Params.Teams[0].Name]
-		if got := [2]model.Milli{team.Guaranteed.Cores, team.Max.Cores}; got != want {
+		if got := [2]model.Milli{team.Guaranteed.Cores, team.Limit.Cores}; got != want {
 			t.Errorf("%q: guarantee and limit %v, want %v", lines, got, want)
 		}
-		job := &model.Job{Owner: team.Name, Pieces: 1, Need: model.Need{Cores: 8000, GPUs: 1000}}
-		flavors := []model.Flavor{{Label: "f", Cores: 96, GPUs: 8, MemoryGB: 768, Yards: []string{"a"}}}
-		if why := job.CanEverRun(s.Teams(), flavors); why != "" {
+		job := &model.Job{Team: team.Name, Tasks: 1, Request: model.Resources{Cores: 8000, GPUs: 1000}}
+		machineTypes := []model.MachineType{{Name: "f", Cores: 96, GPUs: 8, MemoryGB: 768, Zones: []string{"a"}}}
+		if why := job.CanEverRun(s.Teams(), machineTypes); why != "" {
 			t.Errorf("%q: a task with 8 cores can't run: %s", lines, why)
 		}
 	}
--- a/internal/core/block/bench_test.go
+++ b/internal/core/block/bench_test.go
@@ -8,49 +8,49 @@
 )
 
 // bigFleet is a holder with 1,900 machines, nearly full, and 20,000 waiting tasks.
-func bigFleet() (h *Holder, workers []*worker) {
+func bigFleet() (h *State, workers []*worker) {
 	h = New(Params{
 		Teams: map[string]*model.Team{
-			"red":  {Name: "red", Guaranteed: model.Need{Cores: 40_000_000, GPUs: 3_000_000}, Max: model.Need{Cores: 90_000_000, GPUs: 9_000_000}},
-			"blue": {Name: "blue", Guaranteed: model.Need{Cores: 40_000_000}, Max: model.Need{Cores: 90_000_000}},
+			"red":  {Name: "red", Guaranteed: model.Resources{Cores: 40_000_000, GPUs: 3_000_000}, Limit: model.Resources{Cores: 90_000_000, GPUs: 9_000_000}},
+			"blue": {Name: "blue", Guaranteed: model.Resources{Cores: 40_000_000}, Limit: model.Resources{Cores: 90_000_000}},
 		},
 		Report: 5 * sec, Lease: 26500 * model.Millisecond, GangWait: 30 * sec, Margin: sec, MaxValue: 28_000,
 		Waits: map[string][]model.Micros{"gang": {30 * sec}},
 	}, 5)
-	h.SetFlavors([]model.Flavor{
-		{Label: "box", Cores: 16, MemoryGB: 64, CacheGB: 60, FetchGBps: 0.2, Price: 0.86, LowPrice: 0.2, BootS: 20, Yards: []string{"a"}},
-		{Label: "gpu", Cores: 96, GPUs: 8, MemoryGB: 384, CacheGB: 80, FetchGBps: 0.6, Price: 27, LowPrice: 6.9, BootS: 25, Yards: []string{"a"}}})
+	h.SetMachineTypes([]model.MachineType{
+		{Name: "box", Cores: 16, MemoryGB: 64, CacheGB: 60, FetchGBps: 0.2, Price: 0.86, SpotPrice: 0.2, BootS: 20, Zones: []string{"a"}},
+		{Name: "gpu", Cores: 96, GPUs: 8, MemoryGB: 384, CacheGB: 80, FetchGBps: 0.6, Price: 27, SpotPrice: 6.9, BootS: 25, Zones: []string{"a"}}})
 	for i := range 1900 {
-		build := "box"
+		machineType := "box"
 		if i%2 == 0 {
-			build = "gpu"
+			machineType = "gpu"
 		}
-		w := newWorker(h, fmt.Sprintf("host-%06d", i), build, "a")
+		w := newWorker(h, fmt.Sprintf("host-%06d", i), machineType, "a")
 		w.r.Spot = i%5 < 2
 		workers = append(workers, w)
 	}
 	ref := 0
-	add := func(pieces int, shape model.Shape, need model.Need, class, owner string) {
+	add := func(tasks int, shape model.JobKind, need model.Resources, class, team string) {
 		ref++
-		j := &model.Job{Ref: fmt.Sprintf("j-%06d", ref), Class: class, Owner: owner, Shape: shape, Rank: model.Idle, Pieces: pieces,
-			Need: need, Image: fmt.Sprintf("img-%d", ref%6), ImageGB: 4, Guess: 60 * sec, Loaners: shape == model.Sweep}
+		j := &model.Job{ID: fmt.Sprintf("j-%06d", ref), Class: class, Team: team, Kind: shape, Priority: model.LowPriority, Tasks: tasks,
+			Request: need, Image: fmt.Sprintf("img-%d", ref%6), ImageGB: 4, EstimatedRun: 60 * sec, AllowsSpot: shape == model.Array}
 		if shape == model.Gang {
-			j.Rank, j.Loaners, j.Keepsake, j.Stow = model.Urgent, false, 15*sec, 5*sec
+			j.Priority, j.AllowsSpot, j.CheckpointInterval, j.SaveTime = model.HighPriority, false, 15*sec, 5*sec
 		}
 		h.AddJob(j, model.Set{}, "", 0, 0)
 	}
 	for range 150 {
-		add(6, model.Gang, model.Need{Cores: 15_000, Mem: 51_000}, "gang", "blue")
+		add(6, model.Gang, model.Resources{Cores: 15_000, Mem: 51_000}, "gang", "blue")
 	}
 	for range 720 {
-		add(40, model.Sweep, model.Need{Cores: 10_000, GPUs: 1000, Mem: 36_000}, "array", "red")
+		add(40, model.Array, model.Resources{Cores: 10_000, GPUs: 1000, Mem: 36_000}, "array", "red")
 	}
 	for range 2 {
 		for _, w := range workers {
 			w.tally++
 			r := w.r
-			r.Tally, r.Warrant = w.tally, 5
-			h.Take(&r, sec)
+			r.Sequence, r.Token = w.tally, 5
+			h.ApplyReport(&r, sec)
 		}
 	}
 	for range 3 {
@@ -67,8 +67,8 @@
 func (w *worker) report(now model.Micros) *Report {
 	w.tally++
 	r := w.r
-	r.Tally, r.Warrant, r.Pieces = w.tally, 5, running(w.h, w.r.Host)
-	w.h.Take(&r, now)
+	r.Sequence, r.Token, r.Tasks = w.tally, 5, running(w.h, w.r.Machine)
+	w.h.ApplyReport(&r, now)
 	return &r
 }
 
@@ -82,13 +82,13 @@
 	for i := range b.N {
 		now := 3*sec + model.Micros(i)*100*model.Millisecond
 		for _, w := range ws {
-			h.Hosts[w.r.Host].Heard = now
+			h.Machines[w.r.Machine].LastHeartbeat = now
 		}
 		// A few tasks end between two rounds.
 		for k := range 4 {
-			m := h.Hosts[ws[(i*7+k*151)%len(ws)].r.Host]
-			for _, x := range m.Bound {
-				if x.Job.Shape == model.Sweep {
+			m := h.Machines[ws[(i*7+k*151)%len(ws)].r.Machine]
+			for _, x := range m.Bindings {
+				if x.Job.Kind == model.Array {
 					h.unbind(x, "ended", now)
 					break
 				}
@@ -103,7 +103,7 @@
 	for i := range b.N {
 		w := ws[i%len(ws)]
 		now := 3*sec + model.Micros(i)*4*model.Millisecond
-		w.h.Orders(w.report(now), now)
+		w.h.Commands(w.report(now), now)
 	}
 }
 
@@ -111,7 +111,7 @@
 	h, ws := bigFleet()
 	for i := range b.N {
 		for k := range 8 {
-			h.touch(h.Hosts[ws[(i*31+k*71)%len(ws)].r.Host])
+			h.markChanged(h.Machines[ws[(i*31+k*71)%len(ws)].r.Machine])
 		}
 		h.Committed(h.Writes(16, 48<<10), sec)
 	}
--- a/internal/core/block/dense.go
+++ b/internal/core/block/dense.go
@@ -84,18 +84,18 @@
 func (b *BundleRecord) pack() []byte {
 	var labels, jobs table
 	base := ^uint64(0)
-	for _, h := range b.Hosts {
+	for _, h := range b.Machines {
 		if h == nil {
 			continue
 		}
-		for _, ps := range h.Pieces {
+		for _, ps := range h.Tasks {
 			for _, p := range ps {
 				base = min(base, p[1])
 			}
 		}
 	}
 	var p packer // machines, which make the tables
-	refs := slices.Sorted(maps.Keys(b.Hosts))
+	refs := slices.Sorted(maps.Keys(b.Machines))
 	p.num(uint64(len(refs)))
 	last := ""
 	for _, ref := range refs {
@@ -106,7 +106,7 @@
 		p.num(uint64(shared))
 		p.text(ref[shared:])
 		last = ref
-		h := b.Hosts[ref]
+		h := b.Machines[ref]
 		if h == nil {
 			p.num(0)
 			continue
@@ -116,13 +116,13 @@
 			kind = 2
 		}
 		p.num(kind)
-		p.num(labels.number(h.Build))
-		p.num(labels.number(h.Yard))
-		p.num(uint64(len(h.Pieces)))
-		for _, job := range slices.Sorted(maps.Keys(h.Pieces)) {
+		p.num(labels.number(h.MachineType))
+		p.num(labels.number(h.Zone))
+		p.num(uint64(len(h.Tasks)))
+		for _, job := range slices.Sorted(maps.Keys(h.Tasks)) {
 			p.num(jobs.number(job))
-			p.num(uint64(len(h.Pieces[job])))
-			for _, x := range h.Pieces[job] {
+			p.num(uint64(len(h.Tasks[job])))
+			for _, x := range h.Tasks[job] {
 				p.num(x[0])
 				p.num(x[1] - base)
 			}
@@ -197,7 +197,7 @@
 		return errDense
 	}
 	u := &unpacker{in: in[1:]}
-	*b = BundleRecord{Dense: true, Hosts: map[string]*HostRecord{}, Done: map[string][]byte{}}
+	*b = BundleRecord{Dense: true, Machines: map[string]*MachineRecord{}, Done: map[string][]byte{}}
 	base := u.num()
 	labels, jobs := u.table(), u.table()
 	last := ""
@@ -210,10 +210,10 @@
 		last = ref
 		kind := u.num()
 		if kind == 0 {
-			b.Hosts[ref] = nil
+			b.Machines[ref] = nil
 			continue
 		}
-		h := &HostRecord{Spot: kind == 2, Build: u.of(labels), Yard: u.of(labels), Pieces: map[string][][2]uint64{}}
+		h := &MachineRecord{Spot: kind == 2, MachineType: u.of(labels), Zone: u.of(labels), Tasks: map[string][][2]uint64{}}
 		for range u.count() {
 			job := u.of(jobs)
 			ps := make([][2]uint64, 0, 4)
@@ -221,9 +221,9 @@
 				n := u.num()
 				ps = append(ps, [2]uint64{n, base + u.num()})
 			}
-			h.Pieces[job] = ps
+			h.Tasks[job] = ps
 		}
-		b.Hosts[ref] = h
+		b.Machines[ref] = h
 	}
 	for range u.count() {
 		name := u.text()
@@ -254,10 +254,10 @@
 	return n
 }
 
-// denseTask is what a bound piece takes: attempts are counted from the smallest one
+// denseTask is what a bound task takes: attempts are counted from the smallest one
 // that is bound anywhere, or closer.
-func (h *Holder) denseTask(n int, try uint64) int {
-	return uvarint(uint64(n)) + uvarint(try-min(h.firstTry, try))
+func (h *State) denseTask(n int, attempt uint64) int {
+	return uvarint(uint64(n)) + uvarint(attempt-min(h.oldestAttempt, attempt))
 }
 
 // denseName is what a name takes in a table, nothing if it is there.
@@ -269,19 +269,19 @@
 }
 
 // denseSize is what an entry takes in a bundle whose tables have the known names.
-func (h *Holder) denseSize(entry string, known map[string]bool) int {
-	if ref, ok := strings.CutPrefix(entry, HostEntry); ok {
+func (h *State) denseSize(entry string, known map[string]bool) int {
+	if ref, ok := strings.CutPrefix(entry, MachineEntry); ok {
 		n := denseHost + len(ref)
-		m := h.Hosts[ref]
+		m := h.Machines[ref]
 		if m == nil {
 			return inBase64(n)
 		}
-		n += denseName(m.Build, known) + denseName(m.Yard, known)
-		for job := range m.Tasks {
+		n += denseName(m.MachineType, known) + denseName(m.Zone, known)
+		for job := range m.TaskCounts {
 			n += denseJob + denseName(job, known)
 		}
-		for id, b := range m.Bound {
-			n += h.denseTask(id.N, b.Try)
+		for id, b := range m.Bindings {
+			n += h.denseTask(id.Index, b.Attempt)
 		}
 		return inBase64(n)
 	}
@@ -290,27 +290,27 @@
 	case js == nil:
 		return inBase64(denseDone)
 	case k >= 0:
-		return inBase64(denseDone + 4 + len(js.Ref) + len(js.Done.Part(k)))
+		return inBase64(denseDone + 4 + len(js.ID) + len(js.Done.Part(k)))
 	}
-	return inBase64(denseDone + len(js.Ref) + len(js.Done.Bytes()))
+	return inBase64(denseDone + len(js.ID) + len(js.Done.Bytes()))
 }
 
 // learnNames notes the names that an entry brings into the tables.
-func (h *Holder) learnNames(entry string, known map[string]bool) {
-	if m := h.Hosts[strings.TrimPrefix(entry, HostEntry)]; m != nil {
-		known[m.Build], known[m.Yard] = true, true
-		for job := range m.Tasks {
+func (h *State) learnNames(entry string, known map[string]bool) {
+	if m := h.Machines[strings.TrimPrefix(entry, MachineEntry)]; m != nil {
+		known[m.MachineType], known[m.Zone] = true, true
+		for job := range m.TaskCounts {
 			known[job] = true
 		}
 	}
 }
 
 // oldest finds the smallest attempt that is bound.
-func (h *Holder) oldest() {
-	h.firstTry = h.Token << 20
-	for _, m := range h.Hosts {
-		for _, b := range m.Bound {
-			h.firstTry = min(h.firstTry, b.Try)
+func (h *State) oldest() {
+	h.oldestAttempt = h.Token << 20
+	for _, m := range h.Machines {
+		for _, b := range m.Bindings {
+			h.oldestAttempt = min(h.oldestAttempt, b.Attempt)
 		}
 	}
 }
--- a/internal/core/block/dense_test.go
+++ b/internal/core/block/dense_test.go
@@ -17,24 +17,24 @@
 	plainBytes, denseBytes := 0, 0
 	for round := range 200 {
 		h := newHolder(uint64(5 + rng.IntN(100_000)))
-		h.P.MaxValue, h.P.Dense = 1920, true
+		h.Params.MaxValue, h.Params.Dense = 1920, true
 		for k := range 1 + rng.IntN(4) {
-			h.AddJob(job(fmt.Sprintf("j-%06d", rng.IntN(1_000_000)*10+k), 1+rng.IntN(200), model.Sweep), model.Set{}, "", 0, 0)
+			h.AddJob(job(fmt.Sprintf("j-%06d", rng.IntN(1_000_000)*10+k), 1+rng.IntN(200), model.Array), model.Set{}, "", 0, 0)
 		}
 		for i := range 1 + rng.IntN(12) {
 			ref := fmt.Sprintf("host-%06d", rng.IntN(3000))
-			m := h.AddHost(ref, []string{"box", "big \"<type>"}[i%2], "a", i%3 == 0, 0)
+			m := h.AddMachine(ref, []string{"box", "big \"<type>"}[i%2], "a", i%3 == 0, 0)
 			for _, js := range h.Jobs {
 				for range rng.IntN(4) {
 					if len(js.Waiting) > 0 {
-						h.bind(js, js.Waiting[0], m, h.NextTry()-uint64(rng.IntN(2))<<20, 0)
+						h.bind(js, js.Waiting[0], m, h.NextAttempt()-uint64(rng.IntN(2))<<20, 0)
 					}
 				}
-				if js.Done.Add(rng.IntN(js.Pieces)) {
+				if js.Done.Add(rng.IntN(js.Tasks)) {
 					h.pushDone(js, 0)
 				}
 			}
-			h.touch(m)
+			h.markChanged(m)
 		}
 		h.oldest()
 		for h.Queued() > 0 {
@@ -45,7 +45,7 @@
 			for _, w := range ws {
 				rec := w.Value.(BundleRecord)
 				raw, err := json.Marshal(rec)
-				if err != nil || len(raw) > w.size || len(raw) > h.P.MaxValue {
+				if err != nil || len(raw) > w.size || len(raw) > h.Params.MaxValue {
 					t.Fatalf("%d bytes, thought to be %d: %v", len(raw), w.size, err)
 				}
 				denseBytes += len(raw)
@@ -76,7 +76,7 @@
 
 // What is no dense bundle is refused, whatever it is.
 func TestDenseGarbage(t *testing.T) {
-	good := BundleRecord{Dense: true, Hosts: map[string]*HostRecord{"h1": {Build: "box", Yard: "a", Pieces: map[string][][2]uint64{"j-1": {{3, 70}}}}, "h2": nil},
+	good := BundleRecord{Dense: true, Machines: map[string]*MachineRecord{"h1": {MachineType: "box", Zone: "a", Tasks: map[string][][2]uint64{"j-1": {{3, 70}}}}, "h2": nil},
 		Done: map[string][]byte{"j-1": {7}}}
 	packed := good.pack()
 	rng := rand.New(rand.NewPCG(5, 6))
--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -11,11 +11,11 @@
 	mean float64 // microseconds, moving
 }
 
-func (h *Holder) learn(class string, run model.Micros) {
-	s := h.runs[class]
+func (h *State) recordRunTime(class string, run model.Micros) {
+	s := h.runTimes[class]
 	if s == nil {
 		s = &runStat{}
-		h.runs[class] = s
+		h.runTimes[class] = s
 	}
 	s.n++
 	weight := max(1/float64(s.n), 0.05)
@@ -24,36 +24,36 @@
 
 // Expected is how long a task of the job is thought to run: the owner's guess,
 // tempered by what the class has shown.
-func (h *Holder) Expected(j *model.Job) model.Micros {
-	s := h.runs[j.Class]
+func (h *State) Expected(j *model.Job) model.Micros {
+	s := h.runTimes[j.Class]
 	if s == nil || s.n < 3 {
-		return j.Guess
+		return j.EstimatedRun
 	}
-	if j.Guess == 0 {
+	if j.EstimatedRun == 0 {
 		return model.Micros(s.mean)
 	}
-	return (j.Guess + model.Micros(s.mean)) / 2
+	return (j.EstimatedRun + model.Micros(s.mean)) / 2
 }
 
 // Remaining is how long a bound task is thought to go on.
-func (h *Holder) Remaining(b *model.Bound, now model.Micros) model.Micros {
+func (h *State) Remaining(b *model.Binding, now model.Micros) model.Micros {
 	e := h.Expected(b.Job)
-	if b.RunAt == 0 {
+	if b.RunningSince == 0 {
 		return e
 	}
-	ran := now - b.RunAt
+	ran := now - b.RunningSince
 	// The longer it has run beyond what was expected, the longer it may go on.
 	return max(e-ran, ran/4)
 }
 
-// load is what a class asks for and gets.
-type load struct {
+// classLoad is what a class asks for and gets.
+type classLoad struct {
 	rate    float64 // tasks that end in a second, and make room for others
 	waiting int     // tasks
 }
 
 // drain is how long it takes until what waits now has begun.
-func (l load) drain() model.Micros {
+func (l classLoad) drain() model.Micros {
 	if l.waiting == 0 {
 		return 0
 	}
@@ -65,19 +65,19 @@
 
 const forever = model.Micros(1) << 50
 
-// drains finds out the load of every class: from what is bound, so that a new
+// updateClassLoads finds out the load of every class: from what is bound, so that a new
 // holder knows it at once.
-func (h *Holder) drains(jobs []*model.JobState, now model.Micros) {
-	h.loads = make(map[string]load, len(h.runs)+1)
+func (h *State) updateClassLoads(jobs []*model.JobState, now model.Micros) {
+	h.classLoads = make(map[string]classLoad, len(h.runTimes)+1)
 	for _, j := range jobs {
-		l := h.loads[j.Class]
-		if n := len(j.Bound); n > 0 {
+		l := h.classLoads[j.Class]
+		if n := len(j.Bindings); n > 0 {
 			l.rate += float64(n) / max(h.Expected(j.Job), model.Second).Seconds()
 		}
 		if now >= j.NotBefore {
 			l.waiting += len(j.Waiting)
 		}
-		h.loads[j.Class] = l
+		h.classLoads[j.Class] = l
 	}
 }
 
@@ -96,14 +96,14 @@
 // what can't be in time any more. What is about to miss the last time in which it
 // is to start, or to be done, goes before all these, as long as what waits can all
 // be had in time: if it can't, this would only make everything late.
-func (h *Holder) due(j *model.JobState, now model.Micros) model.Micros {
-	if j.Shape == model.Gang && j.Begun {
+func (h *State) due(j *model.JobState, now model.Micros) model.Micros {
+	if j.Kind == model.Gang && j.HasRun {
 		// It had its turn, and lost its machines: it need not queue again.
-		return j.SeenAt - place.Late
+		return j.ReadySince - place.Late
 	}
 	run := h.Expected(j.Job)
 	left := run * model.Micros(len(j.Waiting))
-	age, end := now-j.SeenAt, now-j.SeenAt+run*9/10
+	age, end := now-j.ReadySince, now-j.ReadySince+run*9/10
 	met, lost := 0, 0
 	aim := func(in bool) {
 		if in {
@@ -112,27 +112,27 @@
 			lost++
 		}
 	}
-	waits := h.P.Waits[j.Class]
+	waits := h.Params.Waits[j.Class]
 	if n := len(waits); n > 0 {
 		last := waits[n-1]
-		if near := min(last*3/4, nearMost); age >= near && age < last && h.loads[j.Class].drain() < last*3/4 {
-			return j.SeenAt - place.Late
+		if near := min(last*3/4, nearMost); age >= near && age < last && h.classLoads[j.Class].drain() < last*3/4 {
+			return j.ReadySince - place.Late
 		}
 		for _, w := range waits {
 			aim(age < w)
 		}
 	}
-	if j.Due > 0 {
-		aim(end <= j.Due)
-		for _, times := range h.P.Deadlines[j.Class] {
-			aim(end <= model.Micros(float64(j.Due)*times))
+	if j.Deadline > 0 {
+		aim(end <= j.Deadline)
+		for _, times := range h.Params.Deadlines[j.Class] {
+			aim(end <= model.Micros(float64(j.Deadline)*times))
 		}
 	}
-	finish := h.P.Finish[j.Class]
+	finish := h.Params.Finish[j.Class]
 	if n := len(finish); n > 0 && len(waits) > 0 {
 		last := finish[n-1]
-		if end >= last*3/4 && end <= last && h.loads[j.Class].drain() < last/4 {
-			return j.SeenAt - place.Late
+		if end >= last*3/4 && end <= last && h.classLoads[j.Class].drain() < last/4 {
+			return j.ReadySince - place.Late
 		}
 	}
 	for _, f := range finish {
@@ -140,8 +140,8 @@
 	}
 	switch {
 	case met == 0:
-		return place.Late + j.SeenAt
-	case lost == 0 || len(waits) == 0 && j.Due == 0:
+		return place.Late + j.ReadySince
+	case lost == 0 || len(waits) == 0 && j.Deadline == 0:
 		return left
 	}
 	return missed + left
@@ -155,12 +155,12 @@
 	slowFor    = 60 * model.Second
 )
 
-// judgeSpeed notices slow machines. Work on them is left to finish; new work
+// detectSlowMachine notices slow machines. Work on them is left to finish; new work
 // prefers others for a while.
-func (h *Holder) judgeSpeed(m *model.Host, now model.Micros) {
+func (h *State) detectSlowMachine(m *model.Machine, now model.Micros) {
 	n := 0
-	for _, b := range m.Bound {
-		if e := h.Expected(b.Job); b.RunAt != 0 && e > 0 && now-b.RunAt > slowFactor*max(e, 5*model.Second) {
+	for _, b := range m.Bindings {
+		if e := h.Expected(b.Job); b.RunningSince != 0 && e > 0 && now-b.RunningSince > slowFactor*max(e, 5*model.Second) {
 			n++
 		}
 	}
@@ -168,7 +168,7 @@
 		return
 	}
 	if now >= m.SlowUntil {
-		h.Log(Event{What: "slow", Host: m.Ref})
+		h.Log(Event{What: "slow", Machine: m.ID})
 	}
 	m.SlowUntil = now + slowFor
 }
--- /dev/null
+++ b/internal/core/block/reports.go
@@ -0,0 +1,233 @@
+package block
+
+import (
+	"slices"
+
+	"woadweir/internal/core/model"
+)
+
+// TaskReport is a task in a report.
+type TaskReport struct {
+	ID      model.TaskID
+	Attempt uint64
+	Status  model.Status
+	Cause   string
+	Stored  bool
+}
+
+// Report is a worker's report.
+type Report struct {
+	Machine, Addr, MachineType, Zone string
+	Spot                             bool
+	Session, Sequence, Token         uint64
+	SpotNotice                       bool
+	ReclaimedIn                      model.Micros
+	Tasks                            []TaskReport
+}
+
+// Verdict is what to do with a report.
+type Verdict uint8
+
+// Verdicts: Taken reports get a 200, Stale ones are late copies, Deposed means
+// that the worker knows a higher token than ours, and Introduced ones, of machines
+// that nobody expected, are answered with our token alone: if it is no old copy,
+// the next report will show that token.
+const (
+	Taken Verdict = iota
+	Stale
+	Deposed
+	Introduced
+)
+
+// ApplyReport takes a report in. The answer is made by Commands, after what the report
+// made possible has been decided.
+func (h *State) ApplyReport(r *Report, now model.Micros) Verdict {
+	if r.Token > h.Token {
+		return Deposed
+	}
+	m := h.Machines[r.Machine]
+	if m == nil && r.Token != h.Token {
+		// Perhaps the copy of a report of a machine that is long gone.
+		return Introduced
+	}
+	if m == nil {
+		m = h.AddMachine(r.Machine, r.MachineType, r.Zone, r.Spot, now)
+		h.Log(Event{What: "appeared", Machine: r.Machine})
+	}
+	if m.Deleting {
+		return Stale
+	}
+	if r.Session < m.WorkerSession || r.Session == m.WorkerSession && r.Sequence <= m.Sequence {
+		// A late copy must not move knowledge back.
+		return Stale
+	}
+	h.checkAnswersArrive(m, r, now)
+	m.HasNews = m.HasNews && m.ReceivesAnswers // what a report of a deaf machine made room for waits
+	if !m.Up && r.Token == h.Token {
+		m.Up, m.HasNews, h.NeedsPlacement = true, true, true
+		h.Log(Event{What: "up", Machine: m.ID})
+	}
+	m.Lost = false
+	m.Addr, m.WorkerSession, m.Sequence, m.LastHeartbeat, m.LastAnswer, m.Token = r.Addr, r.Session, r.Sequence, now, now, r.Token
+	if r.SpotNotice && !m.SpotNotice {
+		m.SpotNotice, m.ReclaimedAt = true, now+r.ReclaimedIn
+		h.drain(m, now)
+	}
+	seen := make(map[model.TaskID]bool, len(r.Tasks))
+	for i := range r.Tasks {
+		p := &r.Tasks[i]
+		b := m.Bindings[p.ID]
+		if b != nil && b.Attempt == p.Attempt {
+			seen[p.ID] = true
+			h.progress(b, p, now)
+		} else if p.Status == model.Exited && p.Cause == "done" {
+			h.complete(p.ID, nil, now)
+		}
+	}
+	h.detectSlowMachine(m, now)
+	for id, b := range m.Bindings {
+		if seen[id] || r.Token != h.Token {
+			// Under an older token an earlier holder's start may still be on its way.
+			continue
+		}
+		sent := b.SentSession != 0 || b.SentSequence != 0
+		switch {
+		case b.Seen:
+			h.unbind(b, "newer report without it", now)
+		case b.Stopping || h.Jobs[id.Job].Done.Has(id.Index) || h.Jobs[id.Job].Ended != "":
+			// Never started by us, or the response was dropped: a worker acts on no
+			// response but the one to its last report, and this report is newer.
+			h.unbind(b, "newer report without it, not wanted", now)
+		case sent && now-b.BoundAt > h.Params.GangWait:
+			h.unbind(b, "start never took", now)
+		}
+	}
+	return Taken
+}
+
+// checkAnswersArrive tells from a report whether our answer to the one before reached
+// the worker: it bears our token, comes as soon as after an answer, in the same
+// session, and shows what that answer started. One whose answer got lost goes to
+// another controller first, after a pause. A machine whose reports arrive while
+// nothing reaches it ends its tasks with its lease, session after session.
+func (h *State) checkAnswersArrive(m *model.Machine, r *Report, now model.Micros) {
+	was := m.ReceivesAnswers
+	m.ReceivesAnswers = r.Token == h.Token && r.Session == m.WorkerSession && now-m.LastHeartbeat <= h.Params.Report*3/2+model.Second
+	if m.ReceivesAnswers {
+		for _, b := range m.Bindings {
+			if b.SentSession == m.WorkerSession && b.SentSequence == m.Sequence && !slices.ContainsFunc(r.Tasks, func(p TaskReport) bool { return p.ID == b.ID && p.Attempt == b.Attempt }) {
+				m.ReceivesAnswers = false
+				break
+			}
+		}
+	}
+	switch {
+	case m.ReceivesAnswers:
+		m.UnansweredSince = 0
+	case m.UnansweredSince == 0:
+		m.UnansweredSince = now
+	}
+	if m.ReceivesAnswers && !was {
+		m.HasNews, h.NeedsPlacement = true, true
+	}
+}
+
+// Unreachable tells that a machine goes on reporting, but has not heard us for longer
+// than its tasks can have lived without an answer.
+func (h *State) Unreachable(m *model.Machine, now model.Micros) bool {
+	return m.UnansweredSince != 0 && now-m.UnansweredSince > h.LeaseExpiry()+2*h.Params.Report && now-m.LastHeartbeat < h.LeaseExpiry()
+}
+
+// progress takes the reported state of a bound task.
+func (h *State) progress(b *model.Binding, p *TaskReport, now model.Micros) {
+	m := b.Machine
+	b.Seen = true
+	if b.Status != model.Running && p.Status == model.Running {
+		b.RunningSince, h.Jobs[b.ID.Job].HasRun = now, true
+		h.Log(Event{What: "runs", Machine: m.ID, Task: b.ID.String(), Attempt: b.Attempt})
+	}
+	b.Status = p.Status
+	if p.Status == model.Running || p.Status == model.WaitingForGang || p.Cause == "done" {
+		delete(m.ReadyAt, b.Job.Image)
+	}
+	if p.Status != model.Exited {
+		return
+	}
+	if m.Token != h.Token {
+		// The report may be an old copy: the same attempt may have been started
+		// again since. A completion is a fact all the same.
+		if p.Cause == "done" {
+			h.complete(p.ID, b, now)
+		}
+		return
+	}
+	js := h.Jobs[b.ID.Job]
+	switch p.Cause {
+	case "done":
+		h.complete(p.ID, b, now)
+		m.ErrorsInRow = 0
+		h.unbind(b, "ended: done", now)
+		return
+	case "error":
+		h.failed(js, m, now)
+	case "full", "in_use", "unknown":
+		js.NotBefore = max(js.NotBefore, now+model.Second)
+	}
+	h.unbind(b, "ended: "+p.Cause, now)
+}
+
+// complete takes note of a finished task.
+func (h *State) complete(id model.TaskID, b *model.Binding, now model.Micros) {
+	js := h.Jobs[id.Job]
+	if js == nil || js.Ended != "" || id.Index >= js.Tasks {
+		return
+	}
+	if b != nil && b.RunningSince != 0 && b.RunningSince > b.BoundAt {
+		h.recordRunTime(js.Class, now-b.RunningSince)
+	}
+	if js.Kind == model.Gang {
+		// If one task of a gang is done, all of them are.
+		h.requestEnd(js)
+		return
+	}
+	if !js.Done.Add(id.Index) {
+		return
+	}
+	if i, ok := slices.BinarySearch(js.Waiting, id.Index); ok {
+		js.Waiting = slices.Delete(js.Waiting, i, i+1)
+	}
+	if js.Done.Len() >= js.Tasks {
+		h.requestEnd(js)
+		return
+	}
+	h.pushDone(js, id.Index)
+}
+
+// failed judges whether the machine or the job is at fault. Mostly it is the
+// machine; a job that fails on several machines is itself to blame and must not
+// spoil more of them.
+func (h *State) failed(js *model.JobState, m *model.Machine, now model.Micros) {
+	if js.FailedMachines == nil {
+		js.FailedMachines = map[string]bool{}
+	}
+	js.FailedMachines[m.ID] = true
+	if len(js.FailedMachines) >= 3 && js.Done.Len() == 0 {
+		back := model.Second << min(len(js.FailedMachines), 6)
+		js.NotBefore = max(js.NotBefore, now+back)
+		return
+	}
+	if m.ErrorJobs == nil {
+		m.ErrorJobs = map[string]bool{}
+	}
+	m.ErrorJobs[js.ID] = true
+	m.ErrorsInRow++
+	if !m.Faulty && (len(m.ErrorJobs) >= 2 || m.ErrorsInRow >= 2) {
+		m.Faulty, m.Draining = true, true
+		h.Log(Event{What: "sick", Machine: m.ID, Why: "tasks fail on it"})
+		for _, b := range m.Bindings {
+			if b.Status != model.Running {
+				h.stop(b, 0, "machine is sick", now)
+			}
+		}
+	}
+}
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -6,22 +6,22 @@
 	"strings"
 )
 
-// PieceID names one task of a job.
-type PieceID struct {
-	Job string
-	N   int
+// TaskID names one task of a job.
+type TaskID struct {
+	Job   string
+	Index int
 }
 
-func (p PieceID) String() string { return fmt.Sprintf("%s/%d", p.Job, p.N) }
+func (p TaskID) String() string { return fmt.Sprintf("%s/%d", p.Job, p.Index) }
 
-// ParsePiece reads "j-000412/3".
-func ParsePiece(s string) (PieceID, bool) {
+// ParseTaskID reads "j-000412/3".
+func ParseTaskID(s string) (TaskID, bool) {
 	job, n, ok := strings.Cut(s, "/")
 	if !ok {
-		return PieceID{}, false
+		return TaskID{}, false
 	}
 	i, err := strconv.Atoi(n)
-	return PieceID{job, i}, err == nil && i >= 0
+	return TaskID{job, i}, err == nil && i >= 0
 }
 
 // Set is a set of task numbers, kept compactly: 100,000 of them still fit into
@@ -54,18 +54,18 @@
 	}
 }
 
-// Part is the stored form of the members from k*PartPieces on, as many.
+// Part is the stored form of the members from k*TasksPerPart on, as many.
 func (s *Set) Part(k int) []byte {
-	const size = PartPieces / 8
+	const size = TasksPerPart / 8
 	return s.bits[min(k*size, len(s.bits)):min((k+1)*size, len(s.bits))]
 }
 
-// PartPieces is how many tasks of a large job one entry of finished tasks covers,
+// TasksPerPart is how many tasks of a large job one entry of finished tasks covers,
 // where the whole would be too large for a value of the state service.
-const PartPieces = 4096
+const TasksPerPart = 4096
 
 // Parts is the number of such entries.
-func Parts(pieces int) int { return (pieces + PartPieces - 1) / PartPieces }
+func Parts(tasks int) int { return (tasks + TasksPerPart - 1) / TasksPerPart }
 
 // Bytes is the stored form.
 func (s *Set) Bytes() []byte { return s.bits }
@@ -89,105 +89,105 @@
 	return true
 }
 
-// Status of a bound piece, as last reported.
+// Status of a bound task, as last reported.
 type Status uint8
 
 // The states of a task; Unseen means that no report has shown it yet.
 const (
-	Unseen Status = iota
-	Pulling
-	Gathering
+	Unreported Status = iota
+	Fetching
+	WaitingForGang
 	Running
 	Saving
-	Ended
+	Exited
 )
 
 // StatusOf reads the wire form.
 func StatusOf(s string) Status {
 	switch s {
 	case "pulling":
-		return Pulling
+		return Fetching
 	case "gathering":
-		return Gathering
+		return WaitingForGang
 	case "running":
 		return Running
 	case "saving":
 		return Saving
 	case "ended":
-		return Ended
+		return Exited
 	}
-	return Unseen
+	return Unreported
 }
 
-// Bound is a piece bound to a host: from the decision until there is proof that
+// Binding is a task bound to a machine: from the decision until there is proof that
 // it is gone.
-type Bound struct {
-	ID     PieceID
-	Try    uint64
-	Job    *Job
-	Host   *Host
-	Ver    uint64 // version of the host's record that first holds it
-	Status Status
-	// SentTenure and SentTally name the report whose response last carried the
+type Binding struct {
+	ID      TaskID
+	Attempt uint64
+	Job     *Job
+	Machine *Machine
+	Version uint64 // version of the machine's record that first holds it
+	Status  Status
+	// SentSession and SentTally name the report whose response last carried the
 	// start; both 0 if this process never sent it.
-	SentTenure, SentTally uint64
-	Seen                  bool   // a report under our token has shown it
-	At                    Micros // when it was bound
-	RunAt                 Micros // first seen running, 0 if not yet
-	Fetch                 Micros // how long its image was thought to take when it was bound
-	Stop                  bool   // it is to be stopped
-	Leeway                Micros // grace of that stop
-	StopAt                Micros // when the stop was decided
-	StopSent              Micros // when it was first sent
-	Why                   string // why it is stopped
+	SentSession, SentSequence uint64
+	Seen                      bool   // a report under our token has shown it
+	BoundAt                   Micros // when it was bound
+	RunningSince              Micros // first seen running, 0 if not yet
+	ExpectedFetch             Micros // how long its image was thought to take when it was bound
+	Stopping                  bool   // it is to be stopped
+	StopGrace                 Micros // grace of that stop
+	StopDecidedAt             Micros // when the stop was decided
+	StopSentAt                Micros // when it was first sent
+	StopReason                string // why it is stopped
 }
 
-// Host is a machine.
-type Host struct {
-	Ref, Addr, Build, Yard string
-	Spot                   bool
-	Size                   Need
-	Used                   Need
-	Bound                  map[PieceID]*Bound
-	Tasks                  map[string]int // bound pieces by job
-	Bytes                  int            // that the bound pieces take in its record
-	Ver, DurableVer        uint64
-	Stored                 bool // a record of it is in the state service
+// Machine is a machine.
+type Machine struct {
+	ID, Addr, MachineType, Zone string
+	Spot                        bool
+	Size                        Resources
+	Used                        Resources
+	Bindings                    map[TaskID]*Binding
+	TaskCounts                  map[string]int // bound tasks by job
+	RecordBytes                 int            // that the bound tasks take in its record
+	Version, DurableVersion     uint64
+	Stored                      bool // a record of it is in the state service
 
-	Up            bool // has reported to us
-	Tenure, Tally uint64
-	Heard         Micros // last report taken
-	Answered      Micros // latest moment at which an entitled node may have answered it
-	Warrant       uint64 // highest token it has told us
-	Recall        bool   // spot notice seen
-	RecallAt      Micros // when it is taken
-	RentedAt      Micros
-	EmptyAt       Micros // since when nothing is bound to it
-	Changed       bool   // its last report made room, or showed it up
-	Hears         bool   // its last report showed that our answer to the one before had reached it
-	MuteSince     Micros // since when it reports without hearing, 0: it hears
-	Lost          bool   // its lease surely ran out, nothing heard since
-	Leaving       bool   // to be returned once empty: no new work
-	Deleting      bool   // a deletion is on its way
-	Sick          bool
-	SlowUntil     Micros // it seemed slow lately: other machines are preferred until then
-	Errors        int    // errors in a row
-	ErrorJobs     map[string]bool
-	Listed        bool
-	Failed        bool
-	Cache         []string // images, most recently used last
-	CacheGB       map[string]float64
+	Up                      bool // has reported to us
+	WorkerSession, Sequence uint64
+	LastHeartbeat           Micros // last report taken
+	LastAnswer              Micros // latest moment at which an entitled node may have answered it
+	Token                   uint64 // highest token it has told us
+	SpotNotice              bool   // spot notice seen
+	ReclaimedAt             Micros // when it is taken
+	RentedAt                Micros
+	EmptySince              Micros // since when nothing is bound to it
+	HasNews                 bool   // its last report made room, or showed it up
+	ReceivesAnswers         bool   // its last report showed that our answer to the one before had reached it
+	UnansweredSince         Micros // since when it reports without hearing, 0: it hears
+	Lost                    bool   // its lease surely ran out, nothing heard since
+	Draining                bool   // to be returned once empty: no new work
+	Deleting                bool   // a deletion is on its way
+	Faulty                  bool
+	SlowUntil               Micros // it seemed slow lately: other machines are preferred until then
+	ErrorsInRow             int    // errors in a row
+	ErrorJobs               map[string]bool
+	Listed                  bool
+	Failed                  bool
+	Cache                   []string // images, most recently used last
+	CacheGB                 map[string]float64
 	// ReadyAt is when an image that is being fetched is thought to be there. An
 	// image without an entry has been seen in use.
 	ReadyAt map[string]Micros
 }
 
 // Free is the room left.
-func (h *Host) Free() Need { return h.Size.Minus(h.Used) }
+func (h *Machine) Free() Resources { return h.Size.Minus(h.Used) }
 
 // HasImage tells whether the image is cached or being fetched by a task that is
 // bound here.
-func (h *Host) HasImage(img string) bool {
+func (h *Machine) HasImage(img string) bool {
 	for _, c := range h.Cache {
 		if c == img {
 			return true
@@ -196,9 +196,9 @@
 	return false
 }
 
-// Fetching is how long the images that are being fetched are thought to take yet:
+// FetchTimeLeft is how long the images that are being fetched are thought to take yet:
 // they share the machine's rate.
-func (h *Host) Fetching(now Micros) (left Micros) {
+func (h *Machine) FetchTimeLeft(now Micros) (left Micros) {
 	for _, at := range h.ReadyAt {
 		left = max(left, at-now)
 	}
@@ -206,7 +206,7 @@
 }
 
 // TouchImage notes a use of an image and forgets those that no longer fit.
-func (h *Host) TouchImage(img string, gb, cacheGB float64) {
+func (h *Machine) TouchImage(img string, gb, cacheGB float64) {
 	for i, c := range h.Cache {
 		if c == img {
 			h.Cache = append(append(h.Cache[:i:i], h.Cache[i+1:]...), img)
@@ -237,31 +237,31 @@
 type JobState struct {
 	*Job
 	Done Set
-	// Parts are the versions of Done, by part: one if it is stored as a whole.
-	Parts      []Versions
-	Ended      string // "", "done" or "withdrawn", durable
-	EndWanted  bool   // all done: the end is to be written
-	Bound      map[int][]*Bound
-	Waiting    []int // unbound and not done, ascending
-	Try        uint64
-	Broken     bool // gang attempt to be ended before the next
-	NotBefore  Micros
-	ErrorHosts map[string]bool
-	SeenAt     Micros
-	Begun      bool   // a task of it has run
-	IdleAt     Micros // since when nothing of it is bound
+	// DoneVersions are the versions of Done, by part: one if it is stored as a whole.
+	DoneVersions   []Versions
+	Ended          string // "", "done" or "withdrawn", durable
+	EndPending     bool   // all done: the end is to be written
+	Bindings       map[int][]*Binding
+	Waiting        []int // unbound and not done, ascending
+	Attempt        uint64
+	AttemptFailed  bool // gang attempt to be ended before the next
+	NotBefore      Micros
+	FailedMachines map[string]bool
+	ReadySince     Micros
+	HasRun         bool   // a task of it has run
+	IdleSince      Micros // since when nothing of it is bound
 	// What a placement round thinks of it.
-	Within  bool // within its team's guarantee
-	Soon    bool // and can still start in the time that such work is to start in
-	Starved bool // it has waited too long to begin
-	Paid    bool // others have been stopped to make room for it
-	DueAt   Micros
+	WithinGuarantee bool // within its team's guarantee
+	GuaranteeInTime bool // and can still start in the time that such work is to start in
+	Starved         bool // it has waited too long to begin
+	HasPreempted    bool // others have been stopped to make room for it
+	DueAt           Micros
 }
 
-// BoundCount is the number of bound pieces, old attempts included.
-func (j *JobState) BoundCount() int {
+// BindingCount is the number of bound tasks, old attempts included.
+func (j *JobState) BindingCount() int {
 	n := 0
-	for _, b := range j.Bound {
+	for _, b := range j.Bindings {
 		n += len(b)
 	}
 	return n
--- a/internal/core/model/job.go
+++ b/internal/core/model/job.go
@@ -9,63 +9,63 @@
 	"strings"
 )
 
-// Shape is how a job's tasks relate.
-type Shape uint8
+// JobKind is how a job's tasks relate.
+type JobKind uint8
 
 // The shapes of PROTOCOL.
 const (
-	Sweep Shape = iota
+	Array JobKind = iota
 	Gang
 	Service
 )
 
-// Rank orders jobs for preemption; a higher value goes first.
-type Rank uint8
+// Priority orders jobs for preemption; a higher value goes first.
+type Priority uint8
 
 // The ranks of PROTOCOL.
 const (
-	Idle Rank = iota
-	Standard
-	Urgent
-	Critical
+	LowPriority Priority = iota
+	NormalPriority
+	HighPriority
+	ProductionPriority
 )
 
 var (
-	shapes = map[string]Shape{"sweep": Sweep, "gang": Gang, "service": Service}
-	ranks  = map[string]Rank{"idle": Idle, "standard": Standard, "urgent": Urgent, "critical": Critical}
+	jobKinds   = map[string]JobKind{"sweep": Array, "gang": Gang, "service": Service}
+	priorities = map[string]Priority{"idle": LowPriority, "standard": NormalPriority, "urgent": HighPriority, "critical": ProductionPriority}
 )
 
-// MaxPieces is the most tasks that a job may have.
-const MaxPieces = 100_000
+// MaxTasks is the most tasks that a job may have.
+const MaxTasks = 100_000
 
 // Submission is the wire form of a job, as users post it and as it is kept in
 // the state service.
 type Submission struct {
-	Ref       string   `json:"ref"`
-	Class     string   `json:"jobclass"`
-	Owner     string   `json:"owner"`
-	Shape     string   `json:"shape"`
-	Rank      string   `json:"rank"`
-	Pieces    int      `json:"pieces"`
-	Cores     float64  `json:"cores"`
-	GPUs      float64  `json:"gpus"`
-	MemoryGB  float64  `json:"memoryGb"`
-	Bundle    string   `json:"bundle"`
-	ImageGB   float64  `json:"imageGb"`
-	Builds    []string `json:"builds,omitempty"`
-	Yard      *string  `json:"yard,omitempty"`
-	SamePlace bool     `json:"samePlace,omitempty"`
-	Apart     bool     `json:"apart,omitempty"`
-	Loaners   bool     `json:"loaners,omitempty"`
-	GuessS    float64  `json:"guessS"`
-	KeepsakeS float64  `json:"keepsakeS"`
-	StowS     float64  `json:"stowS"`
-	DueS      *float64 `json:"dueS,omitempty"`
+	ID           string   `json:"ref"`
+	Class        string   `json:"jobclass"`
+	Team         string   `json:"owner"`
+	Kind         string   `json:"shape"`
+	Priority     string   `json:"rank"`
+	Tasks        int      `json:"pieces"`
+	Cores        float64  `json:"cores"`
+	GPUs         float64  `json:"gpus"`
+	MemoryGB     float64  `json:"memoryGb"`
+	Image        string   `json:"bundle"`
+	ImageGB      float64  `json:"imageGb"`
+	MachineTypes []string `json:"builds,omitempty"`
+	Zone         *string  `json:"yard,omitempty"`
+	SameZone     bool     `json:"samePlace,omitempty"`
+	Spread       bool     `json:"apart,omitempty"`
+	AllowsSpot   bool     `json:"loaners,omitempty"`
+	EstimateS    float64  `json:"guessS"`
+	CheckpointS  float64  `json:"keepsakeS"`
+	SaveS        float64  `json:"stowS"`
+	DeadlineS    *float64 `json:"dueS,omitempty"`
 	// Awaits lists the jobs that have to be done before any task of this one starts,
 	// each once.
 	Awaits []string `json:"awaits,omitempty"`
-	// AtMs is the time of day of acceptance; it is ours, not the user's.
-	AtMs int64 `json:"atMs,omitempty"`
+	// AcceptedMs is the time of day of acceptance; it is ours, not the user's.
+	AcceptedMs int64 `json:"atMs,omitempty"`
 }
 
 // required lists the fields that may be neither missing nor null.
@@ -84,7 +84,7 @@
 		return nil, "", errors.New("not an object")
 	}
 	if raw, ok := fields["ref"]; ok {
-		if json.Unmarshal(raw, &ref) != nil || !ValidRef(ref) {
+		if json.Unmarshal(raw, &ref) != nil || !ValidJobID(ref) {
 			ref = ""
 		}
 	}
@@ -97,12 +97,12 @@
 	if err := json.Unmarshal(body, sub); err != nil {
 		return nil, ref, err
 	}
-	sub.AtMs = 0
+	sub.AcceptedMs = 0
 	return sub, ref, sub.check()
 }
 
-// ValidRef tells whether s has the form of a job id and can be part of a key.
-func ValidRef(s string) bool {
+// ValidJobID tells whether s has the form of a job id and can be part of a key.
+func ValidJobID(s string) bool {
 	rest, ok := strings.CutPrefix(s, "j-")
 	if !ok || rest == "" || len(rest) > 64 {
 		return false
@@ -116,32 +116,32 @@
 }
 
 func (s *Submission) check() error {
-	if !ValidRef(s.Ref) {
+	if !ValidJobID(s.ID) {
 		return errors.New("ref is not a job id")
 	}
-	if _, ok := shapes[s.Shape]; !ok {
+	if _, ok := jobKinds[s.Kind]; !ok {
 		return errors.New("shape is not known")
 	}
-	if _, ok := ranks[s.Rank]; !ok {
+	if _, ok := priorities[s.Priority]; !ok {
 		return errors.New("rank is not known")
 	}
-	if s.Pieces < 1 || s.Pieces > MaxPieces {
+	if s.Tasks < 1 || s.Tasks > MaxTasks {
 		return errors.New("pieces is out of range")
 	}
-	if s.Class == "" || s.Owner == "" || s.Bundle == "" {
+	if s.Class == "" || s.Team == "" || s.Image == "" {
 		return errors.New("jobclass, owner and bundle must not be empty")
 	}
 	for name, v := range map[string]float64{"cores": s.Cores, "gpus": s.GPUs, "memoryGb": s.MemoryGB, "imageGb": s.ImageGB,
-		"guessS": s.GuessS, "keepsakeS": s.KeepsakeS, "stowS": s.StowS} {
+		"guessS": s.EstimateS, "keepsakeS": s.CheckpointS, "stowS": s.SaveS} {
 		if v < 0 || v > 1e9 || math.IsNaN(v) {
 			return fmt.Errorf("%s is out of range", name)
 		}
 	}
-	if s.DueS != nil && (*s.DueS < 0 || *s.DueS > 1e9) {
+	if s.DeadlineS != nil && (*s.DeadlineS < 0 || *s.DeadlineS > 1e9) {
 		return errors.New("dueS is out of range")
 	}
 	for _, a := range s.Awaits {
-		if !ValidRef(a) {
+		if !ValidJobID(a) {
 			return errors.New("awaits: not a job id")
 		}
 	}
@@ -151,7 +151,7 @@
 		seen[a] = true
 		return again
 	})
-	if s.Builds != nil && len(s.Builds) == 0 {
+	if s.MachineTypes != nil && len(s.MachineTypes) == 0 {
 		return errors.New("builds is empty")
 	}
 	return nil
@@ -159,82 +159,82 @@
 
 // Job is a submission made ready for decisions.
 type Job struct {
-	Ref, Class, Owner     string
-	Shape                 Shape
-	Rank                  Rank
-	Pieces                int
-	Need                  Need
-	Image                 string
-	ImageGB               float64
-	Builds                []string
-	Yard                  string
-	SamePlace, Apart      bool
-	Loaners               bool
-	Guess, Keepsake, Stow Micros
-	Due                   Micros // from submission; 0: none
-	AtMs                  int64
-	Order                 uint64 // stamp of its acceptance: the age
+	ID, Class, Team                            string
+	Kind                                       JobKind
+	Priority                                   Priority
+	Tasks                                      int
+	Request                                    Resources
+	Image                                      string
+	ImageGB                                    float64
+	MachineTypes                               []string
+	Zone                                       string
+	SameZone, Spread                           bool
+	AllowsSpot                                 bool
+	EstimatedRun, CheckpointInterval, SaveTime Micros
+	Deadline                                   Micros // from submission; 0: none
+	AcceptedMs                                 int64
+	AcceptedRevision                           uint64 // stamp of its acceptance: the age
 }
 
 // Job converts a checked submission.
 func (s *Submission) Job(order uint64) *Job {
-	j := &Job{Ref: s.Ref, Class: s.Class, Owner: s.Owner, Shape: shapes[s.Shape], Rank: ranks[s.Rank], Pieces: s.Pieces,
-		Need:  Need{CeilMilli(s.Cores), CeilMilli(s.GPUs), CeilMilli(s.MemoryGB)},
-		Image: s.Bundle, ImageGB: s.ImageGB, Builds: s.Builds, SamePlace: s.SamePlace, Apart: s.Apart, Loaners: s.Loaners,
-		Guess: Seconds(s.GuessS), Keepsake: Seconds(s.KeepsakeS), Stow: Seconds(s.StowS), AtMs: s.AtMs, Order: order}
-	if s.Yard != nil {
-		j.Yard = *s.Yard
+	j := &Job{ID: s.ID, Class: s.Class, Team: s.Team, Kind: jobKinds[s.Kind], Priority: priorities[s.Priority], Tasks: s.Tasks,
+		Request: Resources{CeilMilli(s.Cores), CeilMilli(s.GPUs), CeilMilli(s.MemoryGB)},
+		Image:   s.Image, ImageGB: s.ImageGB, MachineTypes: s.MachineTypes, SameZone: s.SameZone, Spread: s.Spread, AllowsSpot: s.AllowsSpot,
+		EstimatedRun: Seconds(s.EstimateS), CheckpointInterval: Seconds(s.CheckpointS), SaveTime: Seconds(s.SaveS), AcceptedMs: s.AcceptedMs, AcceptedRevision: order}
+	if s.Zone != nil {
+		j.Zone = *s.Zone
 	}
-	if s.DueS != nil {
-		j.Due = Seconds(*s.DueS)
+	if s.DeadlineS != nil {
+		j.Deadline = Seconds(*s.DeadlineS)
 	}
 	return j
 }
 
-// Allows tells whether the job may use machines of this type, yard and kind.
-func (j *Job) Allows(build, yard string, spot bool) bool {
-	if spot && !j.Loaners || j.Yard != "" && j.Yard != yard {
+// Allows tells whether the job may use machines of this type, zone and kind.
+func (j *Job) Allows(machineType, zone string, spot bool) bool {
+	if spot && !j.AllowsSpot || j.Zone != "" && j.Zone != zone {
 		return false
 	}
-	if j.Builds == nil {
+	if j.MachineTypes == nil {
 		return true
 	}
-	for _, b := range j.Builds {
-		if b == build {
+	for _, b := range j.MachineTypes {
+		if b == machineType {
 			return true
 		}
 	}
 	return false
 }
 
-// PerYard is the most tasks of the job that may be in one yard.
-func (j *Job) PerYard() int {
-	if j.Apart {
-		return (j.Pieces + 1) / 2
+// MaxPerZone is the most tasks of the job that may be in one zone.
+func (j *Job) MaxPerZone() int {
+	if j.Spread {
+		return (j.Tasks + 1) / 2
 	}
-	return j.Pieces
+	return j.Tasks
 }
 
 // CanEverRun tells why a job can never run, or "".
-func (j *Job) CanEverRun(teams map[string]*Team, flavors []Flavor) string {
-	t := teams[j.Owner]
+func (j *Job) CanEverRun(teams map[string]*Team, machineTypes []MachineType) string {
+	t := teams[j.Team]
 	if t == nil {
 		return "unknown team"
 	}
-	n := j.Pieces
-	if j.Shape == Sweep {
+	n := j.Tasks
+	if j.Kind == Array {
 		n = 1
 	}
-	if !t.Within(j.Need.Times(n)) {
+	if !t.Within(j.Request.Times(n)) {
 		return "needs more than the team's limit"
 	}
-	for i := range flavors {
-		f := &flavors[i]
-		if !j.Need.Fits(f.Size()) {
+	for i := range machineTypes {
+		f := &machineTypes[i]
+		if !j.Request.Fits(f.Size()) {
 			continue
 		}
-		for _, y := range f.Yards {
-			if j.Allows(f.Label, y, false) {
+		for _, y := range f.Zones {
+			if j.Allows(f.Name, y, false) {
 				return ""
 			}
 		}
--- a/internal/core/model/model.go
+++ b/internal/core/model/model.go
@@ -1,5 +1,5 @@
 // Package model holds the vocabulary of the scheduler: amounts, times, jobs,
-// machine types, teams, hosts and the pieces bound to them. Nothing in it does
+// machine types, teams, machines and the tasks bound to them. Nothing in it does
 // any input or output.
 package model
 
@@ -37,30 +37,34 @@
 // never less than what is taken.
 func CeilMilli(f float64) Milli { return Milli(math.Ceil(f*1000 - 1e-6)) }
 
-// Need is what one task takes of its machine, or what a machine has.
-type Need struct{ Cores, GPUs, Mem Milli }
+// Resources is what one task takes of its machine, or what a machine has.
+type Resources struct{ Cores, GPUs, Mem Milli }
 
 // Plus adds two amounts.
-func (n Need) Plus(o Need) Need { return Need{n.Cores + o.Cores, n.GPUs + o.GPUs, n.Mem + o.Mem} }
+func (n Resources) Plus(o Resources) Resources {
+	return Resources{n.Cores + o.Cores, n.GPUs + o.GPUs, n.Mem + o.Mem}
+}
 
 // Minus subtracts o.
-func (n Need) Minus(o Need) Need { return Need{n.Cores - o.Cores, n.GPUs - o.GPUs, n.Mem - o.Mem} }
+func (n Resources) Minus(o Resources) Resources {
+	return Resources{n.Cores - o.Cores, n.GPUs - o.GPUs, n.Mem - o.Mem}
+}
 
 // Times multiplies by a count.
-func (n Need) Times(k int) Need {
-	return Need{n.Cores * Milli(k), n.GPUs * Milli(k), n.Mem * Milli(k)}
+func (n Resources) Times(k int) Resources {
+	return Resources{n.Cores * Milli(k), n.GPUs * Milli(k), n.Mem * Milli(k)}
 }
 
 // Fits tells whether n fits into room.
-func (n Need) Fits(room Need) bool {
+func (n Resources) Fits(room Resources) bool {
 	return n.Cores <= room.Cores && n.GPUs <= room.GPUs && n.Mem <= room.Mem
 }
 
 // IsZero tells whether nothing is asked.
-func (n Need) IsZero() bool { return n == Need{} }
+func (n Resources) IsZero() bool { return n == Resources{} }
 
 // Count tells how many times n fits into room, at most limit.
-func (n Need) Count(room Need, limit int) int {
+func (n Resources) Count(room Resources, limit int) int {
 	k := Milli(limit)
 	for _, p := range [...][2]Milli{{n.Cores, room.Cores}, {n.GPUs, room.GPUs}, {n.Mem, room.Mem}} {
 		if p[0] > 0 {
@@ -70,29 +74,29 @@
 	return int(k)
 }
 
-// Flavor is a machine type of the cloud.
-type Flavor struct {
-	Label     string   `json:"label"`
+// MachineType is a machine type of the cloud.
+type MachineType struct {
+	Name      string   `json:"label"`
 	Cores     float64  `json:"cores"`
 	GPUs      float64  `json:"gpus"`
 	MemoryGB  float64  `json:"memoryGb"`
 	CacheGB   float64  `json:"cacheGb"`
 	FetchGBps float64  `json:"fetchGbPerS"`
 	Price     float64  `json:"price"`
-	LowPrice  float64  `json:"lowPrice"`
+	SpotPrice float64  `json:"lowPrice"`
 	BootS     float64  `json:"bootS"`
-	Yards     []string `json:"yards"`
+	Zones     []string `json:"yards"`
 }
 
 // Size is what a machine of this type has.
-func (f *Flavor) Size() Need {
-	return Need{ToMilli(f.Cores), ToMilli(f.GPUs), ToMilli(f.MemoryGB)}
+func (f *MachineType) Size() Resources {
+	return Resources{ToMilli(f.Cores), ToMilli(f.GPUs), ToMilli(f.MemoryGB)}
 }
 
-// In tells whether the type is offered in the yard.
-func (f *Flavor) In(yard string) bool {
-	for _, y := range f.Yards {
-		if y == yard {
+// In tells whether the type is offered in the zone.
+func (f *MachineType) In(zone string) bool {
+	for _, y := range f.Zones {
+		if y == zone {
 			return true
 		}
 	}
@@ -100,9 +104,9 @@
 }
 
 // PriceOf is the current price per hour.
-func (f *Flavor) PriceOf(spot bool) float64 {
+func (f *MachineType) PriceOf(spot bool) float64 {
 	if spot {
-		return f.LowPrice
+		return f.SpotPrice
 	}
 	return f.Price
 }
@@ -114,15 +118,17 @@
 // Team is what a team is guaranteed and limited to.
 type Team struct {
 	Name       string
-	Guaranteed Need
-	Max        Need
+	Guaranteed Resources
+	Limit      Resources
 }
 
 // Within tells whether use stays inside the team's limit (memory is not
 // limited).
-func (t *Team) Within(use Need) bool { return use.Cores <= t.Max.Cores && use.GPUs <= t.Max.GPUs }
+func (t *Team) Within(use Resources) bool {
+	return use.Cores <= t.Limit.Cores && use.GPUs <= t.Limit.GPUs
+}
 
 // WithinGuarantee tells whether use stays inside the team's guarantee.
-func (t *Team) WithinGuarantee(use Need) bool {
+func (t *Team) WithinGuarantee(use Resources) bool {
 	return use.Cores <= t.Guaranteed.Cores && use.GPUs <= t.Guaranteed.GPUs
 }
--- a/internal/core/model/model_test.go
+++ b/internal/core/model/model_test.go
@@ -29,7 +29,7 @@
 		t.Fatal(ref, err)
 	}
 	j := s.Job(7)
-	if j.Shape != Gang || j.Rank != Urgent || j.Need != (Need{8000, 1000, 64_000}) || j.Due != 900*Second || !j.SamePlace {
+	if j.Kind != Gang || j.Priority != HighPriority || j.Request != (Resources{8000, 1000, 64_000}) || j.Deadline != 900*Second || !j.SameZone {
 		t.Errorf("%+v", j)
 	}
 	for old, with := range map[string]string{
@@ -58,31 +58,31 @@
 }
 
 func TestCanEverRun(t *testing.T) {
-	teams := map[string]*Team{"vision": {Max: Need{Cores: 100_000, GPUs: 16_000}}}
-	flavors := []Flavor{{Label: "g8", Cores: 96, GPUs: 8, MemoryGB: 768, Yards: []string{"a"}}}
+	teams := map[string]*Team{"vision": {Limit: Resources{Cores: 100_000, GPUs: 16_000}}}
+	machineTypes := []MachineType{{Name: "g8", Cores: 96, GPUs: 8, MemoryGB: 768, Zones: []string{"a"}}}
 	s, _, _ := ParseSubmission([]byte(body))
 	check := func(what string, want bool, change func(*Submission)) {
 		c := *s
 		change(&c)
-		if why := c.Job(0).CanEverRun(teams, flavors); (why == "") != want {
+		if why := c.Job(0).CanEverRun(teams, machineTypes); (why == "") != want {
 			t.Errorf("%s: %q", what, why)
 		}
 	}
 	elsewhere := "b"
 	check("a gang over the team's cores", false, func(*Submission) {})
-	check("the same as an array", true, func(s *Submission) { s.Shape = "sweep" })
-	check("a smaller gang", true, func(s *Submission) { s.Pieces = 12 })
-	check("an unknown team", false, func(s *Submission) { s.Pieces, s.Owner = 1, "x" })
-	check("another type", false, func(s *Submission) { s.Pieces, s.Builds = 1, []string{"g9"} })
-	check("another yard", false, func(s *Submission) { s.Pieces, s.Yard = 1, &elsewhere })
-	check("too much memory", false, func(s *Submission) { s.Pieces, s.MemoryGB = 1, 769 })
+	check("the same as an array", true, func(s *Submission) { s.Kind = "sweep" })
+	check("a smaller gang", true, func(s *Submission) { s.Tasks = 12 })
+	check("an unknown team", false, func(s *Submission) { s.Tasks, s.Team = 1, "x" })
+	check("another type", false, func(s *Submission) { s.Tasks, s.MachineTypes = 1, []string{"g9"} })
+	check("another yard", false, func(s *Submission) { s.Tasks, s.Zone = 1, &elsewhere })
+	check("too much memory", false, func(s *Submission) { s.Tasks, s.MemoryGB = 1, 769 })
 }
 
 func TestSet(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
 		want := map[int]bool{}
 		var s Set
-		for _, i := range rapid.SliceOfN(rapid.IntRange(0, MaxPieces-1), 0, 50).Draw(rt, "members") {
+		for _, i := range rapid.SliceOfN(rapid.IntRange(0, MaxTasks-1), 0, 50).Draw(rt, "members") {
 			if s.Add(i) == want[i] {
 				rt.Fatalf("%d is added twice, or not at all", i)
 			}
@@ -99,7 +99,7 @@
 		}
 	})
 	var full Set
-	for i := range MaxPieces {
+	for i := range MaxTasks {
 		full.Add(i)
 	}
 	if raw, _ := json.Marshal(full.Bytes()); len(raw) > 32*1024 {
@@ -108,15 +108,15 @@
 }
 
 func TestCount(t *testing.T) {
-	if n := (Need{Cores: 2, Mem: 3}).Count(Need{Cores: 10, Mem: 9, GPUs: -1}, 100); n != 3 {
+	if n := (Resources{Cores: 2, Mem: 3}).Count(Resources{Cores: 10, Mem: 9, GPUs: -1}, 100); n != 3 {
 		t.Errorf("%d", n)
 	}
 	// A room that is overdrawn in what is not asked for is no obstacle, one that
 	// is overdrawn in what is asked for is none at all.
-	if n := (Need{Cores: 2}).Count(Need{Cores: 4, Mem: -5}, 100); n != 2 {
+	if n := (Resources{Cores: 2}).Count(Resources{Cores: 4, Mem: -5}, 100); n != 2 {
 		t.Errorf("%d", n)
 	}
-	if n := (Need{Cores: 2}).Count(Need{Cores: -4}, 100); n != 0 {
+	if n := (Resources{Cores: 2}).Count(Resources{Cores: -4}, 100); n != 0 {
 		t.Errorf("%d", n)
 	}
 }
--- a/internal/core/slack/bench_test.go
+++ b/internal/core/slack/bench_test.go
@@ -10,27 +10,27 @@
 // A renting round over 1,900 machines, most of them full, with 20,000 waiting
 // tasks of many sizes, and no capacity left to be rented.
 func BenchmarkRound(b *testing.B) {
-	in := &Input{Flavors: flavors, CloudOK: true}
+	in := &Input{MachineTypes: machineTypes, CloudOK: true}
 	for i := range 1900 {
-		build, used := "box", model.Need{Cores: 9_000, Mem: 30_000}
+		machineType, used := "box", model.Resources{Cores: 9_000, Mem: 30_000}
 		if i%2 == 0 {
-			build, used = "gpu", model.Need{Cores: 18_000, GPUs: 4000, Mem: 70_000}
+			machineType, used = "gpu", model.Resources{Cores: 18_000, GPUs: 4000, Mem: 70_000}
 		}
 		if i%10 == 0 {
-			used = model.Need{}
+			used = model.Resources{}
 		}
-		in.Hosts = append(in.Hosts, host(fmt.Sprintf("host-%06d", i), build, used))
+		in.Machines = append(in.Machines, machine(fmt.Sprintf("host-%06d", i), machineType, used))
 	}
 	for i := range 500 {
-		d := demand(40, model.Need{Cores: 4000 + model.Milli(i), GPUs: 1000, Mem: 12_000}, true)
+		d := demand(40, model.Resources{Cores: 4000 + model.Milli(i), GPUs: 1000, Mem: 12_000}, true)
 		in.Waiting = append(in.Waiting, d)
-		in.Sizes = append(in.Sizes, d.Job.Need)
+		in.Sizes = append(in.Sizes, d.Job.Request)
 	}
 	l := New(Defaults())
-	for _, f := range flavors {
-		for _, y := range f.Yards {
-			l.Refuse(Offer{f.Label, y, true}, 1<<50)
-			l.Refuse(Offer{f.Label, y, false}, 1<<50)
+	for _, f := range machineTypes {
+		for _, y := range f.Zones {
+			l.Refuse(Offer{f.Name, y, true}, 1<<50)
+			l.Refuse(Offer{f.Name, y, false}, 1<<50)
 		}
 	}
 	for i := range b.N {
--- a/internal/core/slack/slack_test.go
+++ b/internal/core/slack/slack_test.go
@@ -8,31 +8,31 @@
 
 const sec = model.Second
 
-var flavors = map[string]*model.Flavor{
-	"box": {Label: "box", Cores: 10, MemoryGB: 40, Price: 1, LowPrice: 0.3, BootS: 10, Yards: []string{"a", "b"}},
-	"gpu": {Label: "gpu", Cores: 20, GPUs: 4, MemoryGB: 80, Price: 12, LowPrice: 3, BootS: 20, Yards: []string{"a", "b"}},
+var machineTypes = map[string]*model.MachineType{
+	"box": {Name: "box", Cores: 10, MemoryGB: 40, Price: 1, SpotPrice: 0.3, BootS: 10, Zones: []string{"a", "b"}},
+	"gpu": {Name: "gpu", Cores: 20, GPUs: 4, MemoryGB: 80, Price: 12, SpotPrice: 3, BootS: 20, Zones: []string{"a", "b"}},
 }
 
-func host(ref, build string, used model.Need) *model.Host {
-	h := &model.Host{Ref: ref, Build: build, Yard: "a", Size: flavors[build].Size(), Used: used, Up: true, Bound: map[model.PieceID]*model.Bound{}}
+func machine(ref, machineType string, used model.Resources) *model.Machine {
+	h := &model.Machine{ID: ref, MachineType: machineType, Zone: "a", Size: machineTypes[machineType].Size(), Used: used, Up: true, Bindings: map[model.TaskID]*model.Binding{}}
 	if !used.IsZero() {
-		h.Bound[model.PieceID{Job: "j-0"}] = &model.Bound{}
+		h.Bindings[model.TaskID{Job: "j-0"}] = &model.Binding{}
 	}
 	return h
 }
 
-func demand(n int, need model.Need, loaners bool) Demand {
-	return Demand{Job: &model.JobState{Job: &model.Job{Pieces: n, Need: need, Loaners: loaners}}, Count: n}
+func demand(n int, need model.Resources, spot bool) Demand {
+	return Demand{Job: &model.JobState{Job: &model.Job{Tasks: n, Request: need, AllowsSpot: spot}}, Count: n}
 }
 
-func input(now model.Micros, hosts ...*model.Host) *Input {
-	return &Input{Now: now, Hosts: hosts, Flavors: flavors, CloudOK: true}
+func input(now model.Micros, machines ...*model.Machine) *Input {
+	return &Input{Now: now, Machines: machines, MachineTypes: machineTypes, CloudOK: true}
 }
 
-func (l *Loop) where(big bool) (refs []string) {
-	for _, p := range l.holders {
-		if p.big == big {
-			refs = append(refs, p.host)
+func (l *Provisioner) where(big bool) (refs []string) {
+	for _, p := range l.placeholders {
+		if p.largest == big {
+			refs = append(refs, p.machine)
 		}
 	}
 	return refs
@@ -42,48 +42,48 @@
 // taken alone, and the rest of the extra split evenly.
 func TestPlaceholderSizes(t *testing.T) {
 	l := New(Defaults())
-	var hosts []*model.Host
+	var machines []*model.Machine
 	for _, ref := range []string{"h1", "h2", "h3", "h4"} {
-		hosts = append(hosts, host(ref, "box", model.Need{}))
+		machines = append(machines, machine(ref, "box", model.Resources{}))
 	}
-	in := input(0, hosts...)
-	in.Sizes = []model.Need{{Cores: 2000, Mem: 1000}, {Cores: 1000, Mem: 3000}}
+	in := input(0, machines...)
+	in.Sizes = []model.Resources{{Cores: 2000, Mem: 1000}, {Cores: 1000, Mem: 3000}}
 	l.Round(in)
-	var sum model.Need
+	var sum model.Resources
 	n := 0
-	for _, p := range l.holders {
+	for _, p := range l.placeholders {
 		sum = sum.Plus(p.size)
-		if !p.big {
+		if !p.largest {
 			n++
-		} else if p.size != (model.Need{Cores: 2000, Mem: 3000}) {
+		} else if p.size != (model.Resources{Cores: 2000, Mem: 3000}) {
 			t.Errorf("the largest placeholder is %v", p.size)
 		}
 	}
 	if n != 4*5 || sum.Cores != 4000 || sum.Mem != 16000 {
 		t.Errorf("%d small placeholders, %v in all, want 20 and a tenth of the fleet", n, sum)
 	}
-	in.Sizes = []model.Need{{Cores: 50_000, Mem: 500_000}}
+	in.Sizes = []model.Resources{{Cores: 50_000, Mem: 500_000}}
 	l.Round(in)
-	if len(l.holders) != 1 || l.holders[0].size != (model.Need{Cores: 10_000, Mem: 40_000}) {
-		t.Errorf("%d placeholders, first %v: want one, cut to the biggest machine", len(l.holders), l.holders[0].size)
+	if len(l.placeholders) != 1 || l.placeholders[0].size != (model.Resources{Cores: 10_000, Mem: 40_000}) {
+		t.Errorf("%d placeholders, first %v: want one, cut to the biggest machine", len(l.placeholders), l.placeholders[0].size)
 	}
 }
 
 func TestPlaceholdersStayAndArePushed(t *testing.T) {
 	l := New(Defaults())
-	h1, h2 := host("h1", "box", model.Need{Cores: 6000}), host("h2", "box", model.Need{Cores: 1000})
+	h1, h2 := machine("h1", "box", model.Resources{Cores: 6000}), machine("h2", "box", model.Resources{Cores: 1000})
 	in := input(0, h1, h2)
-	in.Sizes = []model.Need{{Cores: 3000, Mem: 1000}}
+	in.Sizes = []model.Resources{{Cores: 3000, Mem: 1000}}
 	l.Round(in)
 	if got := l.where(true); len(got) != 1 || got[0] != "h1" {
 		t.Fatalf("the largest is at %v, want the fuller machine", got)
 	}
-	h2.Used = model.Need{Cores: 6500} // now h2 would be the better fit
+	h2.Used = model.Resources{Cores: 6500} // now h2 would be the better fit
 	l.Round(in)
 	if got := l.where(true); got[0] != "h1" {
 		t.Fatalf("the largest moved to %v without need", got)
 	}
-	h1.Used, h2.Used = model.Need{Cores: 9000}, model.Need{Cores: 2000}
+	h1.Used, h2.Used = model.Resources{Cores: 9000}, model.Resources{Cores: 2000}
 	l.Round(in)
 	if got := l.where(true); got[0] != "h2" {
 		t.Fatalf("the largest is at %v though real tasks pushed it out", got)
@@ -95,19 +95,19 @@
 func TestRenting(t *testing.T) {
 	l := New(Defaults())
 	in := input(0)
-	in.Waiting = []Demand{demand(25, model.Need{Cores: 1000, Mem: 1000}, true)}
-	in.Sizes = []model.Need{{Cores: 1000, Mem: 1000}}
+	in.Waiting = []Demand{demand(25, model.Resources{Cores: 1000, Mem: 1000}, true)}
+	in.Sizes = []model.Resources{{Cores: 1000, Mem: 1000}}
 	out := l.Round(in)
 	if len(out.Rent) != 1 || out.Rent[0] != (Rental{"box", "a", true, 3}) {
 		t.Fatalf("rents %+v, want three spot boxes in one call", out.Rent)
 	}
 	l.Refuse(Offer{"box", "a", true}, 0)
 	l.Refuse(Offer{"box", "b", true}, 0)
-	if out = l.Round(in); len(out.Rent) != 1 || out.Rent[0].Spot || out.Rent[0].Build != "box" {
+	if out = l.Round(in); len(out.Rent) != 1 || out.Rent[0].Spot || out.Rent[0].MachineType != "box" {
 		t.Fatalf("rents %+v, want ordinary boxes after spot ones were refused", out.Rent)
 	}
 	for range 3 {
-		in.Hosts = append(in.Hosts, &model.Host{Ref: "~" + string(rune('a'+len(in.Hosts))), Build: "box", Yard: "a", Size: flavors["box"].Size()})
+		in.Machines = append(in.Machines, &model.Machine{ID: "~" + string(rune('a'+len(in.Machines))), MachineType: "box", Zone: "a", Size: machineTypes["box"].Size()})
 	}
 	if out = l.Round(in); len(out.Rent) != 0 {
 		t.Fatalf("rents %+v though enough is on its way", out.Rent)
@@ -123,7 +123,7 @@
 func TestEmptyFleetRentsForTheLargest(t *testing.T) {
 	l := New(Defaults())
 	in := input(0)
-	in.Sizes = []model.Need{{Cores: 1000, Mem: 1000}}
+	in.Sizes = []model.Resources{{Cores: 1000, Mem: 1000}}
 	if out := l.Round(in); len(out.Rent) != 1 || out.Rent[0].Spot || out.Rent[0].Count != 1 {
 		t.Fatalf("rents %+v, want one ordinary box", out.Rent)
 	}
@@ -131,24 +131,24 @@
 
 func TestGiveBack(t *testing.T) {
 	l := New(Defaults())
-	h1, h2 := host("h1", "box", model.Need{Cores: 1000}), host("h2", "box", model.Need{})
+	h1, h2 := machine("h1", "box", model.Resources{Cores: 1000}), machine("h2", "box", model.Resources{})
 	in := input(30*sec, h1, h2)
-	in.Sizes = []model.Need{{Cores: 1000, Mem: 1000}}
+	in.Sizes = []model.Resources{{Cores: 1000, Mem: 1000}}
 	if out := l.Round(in); len(out.GiveBack) != 0 {
 		t.Fatal("gives back before the time that is charged anyway")
 	}
 	in.Now = 70 * sec
-	h2.EmptyAt = 67 * sec
+	h2.EmptySince = 67 * sec
 	if out := l.Round(in); len(out.GiveBack) != 0 {
 		t.Fatal("gives back what got empty just now")
 	}
-	h2.EmptyAt = 30 * sec
+	h2.EmptySince = 30 * sec
 	in.CloudOK = false
 	if out := l.Round(in); len(out.GiveBack) != 0 {
 		t.Fatal("gives back while the cloud is down")
 	}
 	in.CloudOK = true
-	in.Waiting = []Demand{demand(12, model.Need{Cores: 1000, Mem: 1000}, false)}
+	in.Waiting = []Demand{demand(12, model.Resources{Cores: 1000, Mem: 1000}, false)}
 	if out := l.Round(in); len(out.GiveBack) != 0 {
 		t.Fatal("gives back what waiting tasks need")
 	}
@@ -156,11 +156,11 @@
 	if out := l.Round(in); len(out.GiveBack) != 1 || out.GiveBack[0] != h2 {
 		t.Fatalf("gives back %v, want h2", out.GiveBack)
 	}
-	h1.Used = model.Need{Cores: 10_000} // the placeholder has nowhere else to go
+	h1.Used = model.Resources{Cores: 10_000} // the placeholder has nowhere else to go
 	if out := l.Round(in); len(out.GiveBack) != 0 {
 		t.Fatal("gives back the placeholder's machine")
 	}
-	in.Now += l.P.HoldIdle
+	in.Now += l.Params.IdleHold
 	if out := l.Round(in); len(out.GiveBack) != 1 {
 		t.Fatal("a placeholder keeps an empty machine for ever")
 	}
@@ -170,15 +170,15 @@
 func TestDearMachines(t *testing.T) {
 	l := New(Defaults())
 	in := input(0)
-	d := demand(2, model.Need{Cores: 1000, Mem: 1000}, false)
+	d := demand(2, model.Resources{Cores: 1000, Mem: 1000}, false)
 	in.Waiting = []Demand{d}
 	l.Refuse(Offer{"box", "a", false}, 0)
 	l.Refuse(Offer{"box", "b", false}, 0)
 	if out := l.Round(in); len(out.Rent) != 0 {
 		t.Fatalf("rents %+v", out.Rent)
 	}
-	d.Job.Rank = model.Urgent
-	if out := l.Round(in); len(out.Rent) != 1 || out.Rent[0].Build != "gpu" {
+	d.Job.Priority = model.HighPriority
+	if out := l.Round(in); len(out.Rent) != 1 || out.Rent[0].MachineType != "gpu" {
 		t.Fatalf("rents %+v for urgent work", out.Rent)
 	}
 }
@@ -187,37 +187,37 @@
 // machines are rented where they may go. Once, the second replica of a service that has
 // to be apart waited beside such room for ever.
 func TestRoomInTheWrongZoneIsNone(t *testing.T) {
-	need := model.Need{Cores: 4000}
-	rent := func(l *Loop, d Demand) []Rental {
-		in := input(0, host("h1", "box", model.Need{}), host("h2", "box", model.Need{}))
+	need := model.Resources{Cores: 4000}
+	rent := func(l *Provisioner, d Demand) []Rental {
+		in := input(0, machine("h1", "box", model.Resources{}), machine("h2", "box", model.Resources{}))
 		in.Waiting = []Demand{d}
 		return l.Round(in).Rent
 	}
 	apart := demand(2, need, false)
-	apart.Job.Apart = true
-	if rs := rent(New(Defaults()), apart); len(rs) != 1 || rs[0].Yard != "b" || rs[0].Count != 1 {
+	apart.Job.Spread = true
+	if rs := rent(New(Defaults()), apart); len(rs) != 1 || rs[0].Zone != "b" || rs[0].Count != 1 {
 		t.Errorf("one of two may be in zone a, where there is room; rented %v", rs)
 	}
-	apart.Job.Bound = map[int][]*model.Bound{0: {{Host: &model.Host{Yard: "a"}}}}
+	apart.Job.Bindings = map[int][]*model.Binding{0: {{Machine: &model.Machine{Zone: "a"}}}}
 	apart.Count = 1
-	if rs := rent(New(Defaults()), apart); len(rs) != 1 || rs[0].Yard != "b" {
+	if rs := rent(New(Defaults()), apart); len(rs) != 1 || rs[0].Zone != "b" {
 		t.Errorf("the second of two, the first is in zone a; rented %v", rs)
 	}
 	together := demand(5, need, false)
-	together.Job.SamePlace = true
-	if rs := rent(New(Defaults()), together); len(rs) != 1 || rs[0].Yard != "a" || rs[0].Count != 1 {
+	together.Job.SameZone = true
+	if rs := rent(New(Defaults()), together); len(rs) != 1 || rs[0].Zone != "a" || rs[0].Count != 1 {
 		t.Errorf("four of five that have to be together fit into zone a; rented %v", rs)
 	}
 	l := New(Defaults())
-	for _, build := range []string{"box", "gpu"} {
-		l.Refuse(Offer{build, "a", false}, 0)
+	for _, machineType := range []string{"box", "gpu"} {
+		l.Refuse(Offer{machineType, "a", false}, 0)
 	}
-	if rs := rent(l, together); len(rs) != 1 || rs[0].Yard != "b" || rs[0].Count != 3 {
+	if rs := rent(l, together); len(rs) != 1 || rs[0].Zone != "b" || rs[0].Count != 3 {
 		t.Errorf("nothing can be rented in zone a; rented %v", rs)
 	}
-	together.Job.Bound = map[int][]*model.Bound{0: {{Host: &model.Host{Yard: "b"}}}}
+	together.Job.Bindings = map[int][]*model.Binding{0: {{Machine: &model.Machine{Zone: "b"}}}}
 	together.Count = 4
-	if rs := rent(New(Defaults()), together); len(rs) != 1 || rs[0].Yard != "b" || rs[0].Count != 2 {
+	if rs := rent(New(Defaults()), together); len(rs) != 1 || rs[0].Zone != "b" || rs[0].Count != 2 {
 		t.Errorf("the first of five that have to be together is in zone b; rented %v", rs)
 	}
 }
--- a/internal/node/awaits_test.go
+++ b/internal/node/awaits_test.go
@@ -21,14 +21,14 @@
 }
 
 func (n *simNode) submits(s *model.Submission) userapi.Answer {
-	return n.answerOf(func(r chan<- userapi.Answer) any { c := *s; return msgSubmit{c.Ref, &c, nil, r} })
+	return n.answerOf(func(r chan<- userapi.Answer) any { c := *s; return msgSubmit{c.ID, &c, nil, r} })
 }
 
 func (n *simNode) statusOf(t *testing.T, ref string) string {
 	t.Helper()
 	var a userapi.Answer
 	n.w.until(10*model.Second, "an answer about "+ref, func() bool {
-		a = n.answerOf(func(r chan<- userapi.Answer) any { return msgPoll{ref, r} })
+		a = n.answerOf(func(r chan<- userapi.Answer) any { return msgStatusQuery{ref, r} })
 		return a.Code != 503 // now and then a catch-up is lost
 	})
 	var body struct{ Status string }
@@ -51,7 +51,7 @@
 	w.led(10 * model.Second)
 	w.Run(w.Now + 3*model.Second)
 	service := sweepJob(2, 1, 0)
-	service.Shape = "service"
+	service.Kind = "service"
 	for i, s := range []*model.Submission{sweepJob(0, 2, 200), service} {
 		if a := w.nodes[i].submits(s); a.Code != 201 {
 			t.Fatalf("%d %s", a.Code, a.Body)
@@ -92,7 +92,7 @@
 	var refs []string
 	for i := range 100 {
 		s := sweepJob(i, 1, 1)
-		refs = append(refs, s.Ref)
+		refs = append(refs, s.ID)
 		n := w.nodes[i%3]
 		w.until(30*model.Second, "accepted", func() bool { return n.submits(s).Code/100 == 2 })
 	}
@@ -100,7 +100,7 @@
 		t.Errorf("awaits 100: %d %s", a.Code, a.Body)
 	}
 	long := awaiting(201, refs...)
-	long.Bundle = strings.Repeat("x", 900)
+	long.Image = strings.Repeat("x", 900)
 	if a := w.nodes[0].submits(long); a.Code != 422 {
 		t.Errorf("too large: %d %s", a.Code, a.Body)
 	}
@@ -115,29 +115,29 @@
 	w.led(10 * model.Second)
 	w.Run(w.Now + 3*model.Second)
 	accept := func(s *model.Submission) {
-		w.rules.Subs[s.Ref], w.rules.Awaits[s.Ref] = s.Job(0), s.Awaits
+		w.rules.Subs[s.ID], w.rules.Awaits[s.ID] = s.Job(0), s.Awaits
 		w.until(60*model.Second, "accepted", func() bool { return w.nodes[w.Rng.IntN(3)].submits(s).Code/100 == 2 })
 	}
 	before, first := sweepJob(0, 1, 1), sweepJob(1, 4, 300)
 	accept(before)
-	first.Awaits = []string{before.Ref}
+	first.Awaits = []string{before.ID}
 	accept(first)
-	last := first.Ref
+	last := first.ID
 	for i := 10; i < 60; i++ { // a chain, and a fan beside it
 		accept(awaiting(i, last))
-		accept(awaiting(100+i, first.Ref))
-		last = awaiting(i).Ref
+		accept(awaiting(100+i, first.ID))
+		last = awaiting(i).ID
 	}
-	w.until(60*model.Second, "the first runs", func() bool { return w.nodes[0].statusOf(t, first.Ref) == "running" })
+	w.until(60*model.Second, "the first runs", func() bool { return w.nodes[0].statusOf(t, first.ID) == "running" })
 	w.state.Fall(2, 5, 3)
 	u := &user{w: w, sub: first}
-	w.rules.Ask(first.Ref)
-	late := awaiting(500, first.Ref)
-	w.rules.Subs[late.Ref], w.rules.Awaits[late.Ref] = late.Job(0), late.Awaits
+	w.rules.Ask(first.ID)
+	late := awaiting(500, first.ID)
+	w.rules.Subs[late.ID], w.rules.Awaits[late.ID] = late.Job(0), late.Awaits
 	lateTold := make(chan userapi.Answer, 1)
-	w.nodes[1].ask(msgSubmit{late.Ref, late, nil, lateTold}, nil)
+	w.nodes[1].ask(msgSubmit{late.ID, late, nil, lateTold}, nil)
 	u.withdraw()
-	w.until(10*model.Second, "it is cancelled", func() bool { return w.rules.Ended(first.Ref) == "withdrawn" })
+	w.until(10*model.Second, "it is cancelled", func() bool { return w.rules.Ended(first.ID) == "withdrawn" })
 	w.led(30 * model.Second)
 	w.leader().crash() // and nobody is left to write anything about it
 	for _, n := range w.nodes {
@@ -145,7 +145,7 @@
 			continue
 		}
 		for i := 10; i < 60; i++ {
-			for _, ref := range []string{awaiting(i).Ref, awaiting(100 + i).Ref} {
+			for _, ref := range []string{awaiting(i).ID, awaiting(100 + i).ID} {
 				if s := n.statusOf(t, ref); s != "withdrawn" {
 					t.Fatalf("%s says that %s is %s", n.name, ref, s)
 				}
@@ -160,14 +160,14 @@
 	w.led(30 * model.Second)
 	w.until(20*model.Second, "the late one was answered", func() bool { return len(lateTold) == 1 })
 	if a := <-lateTold; a.Code == 201 {
-		if s := w.nodes[2].statusOf(t, late.Ref); s != "withdrawn" {
+		if s := w.nodes[2].statusOf(t, late.ID); s != "withdrawn" {
 			t.Errorf("what was submitted meanwhile is %s", s)
 		}
 	}
-	if a := w.nodes[0].submits(awaiting(501, last)); a.Code != 201 || w.nodes[2].statusOf(t, awaiting(501).Ref) != "withdrawn" {
+	if a := w.nodes[0].submits(awaiting(501, last)); a.Code != 201 || w.nodes[2].statusOf(t, awaiting(501).ID) != "withdrawn" {
 		t.Errorf("what names a withdrawn job: %d %s", a.Code, a.Body)
 	}
-	if s := w.nodes[0].statusOf(t, before.Ref); s != "done" {
+	if s := w.nodes[0].statusOf(t, before.ID); s != "done" {
 		t.Errorf("what was done before is %s", s)
 	}
 	w.Run(w.Now + 60*model.Second)
@@ -181,7 +181,7 @@
 	w := newWorld(t, 64)
 	us := w.pipeline(0, 0)
 	w.until(60*model.Second, "the first is done", func() bool { return us[0].ended == "done" })
-	a := w.nodes[1].answerOf(func(r chan<- userapi.Answer) any { return msgWithdraw{us[0].sub.Ref, r} })
+	a := w.nodes[1].answerOf(func(r chan<- userapi.Answer) any { return msgCancel{us[0].sub.ID, r} })
 	if a.Code != 200 || !strings.Contains(string(a.Body), "done") {
 		t.Fatalf("%d %s", a.Code, a.Body)
 	}
@@ -225,15 +225,15 @@
 	w.Run(w.Now + 3*model.Second)
 	first := sweepJob(0, 2, 60)
 	big := sweepJob(1, 20, 5) // the team's whole limit
-	big.Awaits, big.Rank = []string{first.Ref}, "critical"
+	big.Awaits, big.Priority = []string{first.ID}, "critical"
 	w.submit(first, 0).then = func() { w.submit(big, 0) }
 	w.until(30*model.Second, "the first runs", func() bool { return w.rules.OnMachine() == 2 })
 	beside := w.submit(sweepJob(2, 16, 5), 0)
 	w.until(40*model.Second, "what came later is done", func() bool { return beside.ended == "done" })
-	if s := w.nodes[0].statusOf(t, big.Ref); s != "pending" {
+	if s := w.nodes[0].statusOf(t, big.ID); s != "pending" {
 		t.Errorf("what waits is %s", s)
 	}
-	w.until(120*model.Second, "all is done", func() bool { return w.rules.Ended(big.Ref) == "done" })
+	w.until(120*model.Second, "all is done", func() bool { return w.rules.Ended(big.ID) == "done" })
 	w.check()
 }
 
@@ -249,14 +249,14 @@
 	first, second := sweepJob(0, 2, 60), sweepJob(1, 2, 60)
 	w.submit(first, 0)
 	w.submit(second, 0)
-	w.rules.Awaits[second.Ref] = []string{first.Ref}
+	w.rules.Awaits[second.ID] = []string{first.ID}
 	w.until(30*model.Second, "too_early", func() bool { return broken("too_early") })
-	w.rules.Ask(first.Ref)
+	w.rules.Ask(first.ID)
 	(&user{w: w, sub: first}).withdraw()
 	w.until(60*model.Second, "orphaned", func() bool { return broken("orphaned") })
 	// Nobody is left to answer, and no trouble is said to be the reason.
 	w.submit(sweepJob(2, 1, 300), 0)
-	w.until(20*model.Second, "it is accepted", func() bool { return w.rules.Accepted[sweepJob(2, 1, 1).Ref] })
+	w.until(20*model.Second, "it is accepted", func() bool { return w.rules.Accepted[sweepJob(2, 1, 1).ID] })
 	w.rules.Calm = w.Now
 	for _, n := range w.nodes {
 		n.crash()
--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -23,7 +23,7 @@
 	w.check()
 	for _, u := range us {
 		if u.ended != "done" {
-			t.Errorf("%s: %q; %s", u.sub.Ref, u.ended, w.cloud.Describe())
+			t.Errorf("%s: %q; %s", u.sub.ID, u.ended, w.cloud.Describe())
 		}
 	}
 	w.Run(300 * model.Second)
@@ -50,11 +50,11 @@
 				case 0:
 					s = gangJob(i, 1+w.Rng.IntN(4), float64(2+w.Rng.IntN(25)))
 				case 1:
-					s.SamePlace = true
+					s.SameZone = true
 				case 2:
-					s.Apart, s.Loaners = true, false
+					s.Spread, s.AllowsSpot = true, false
 				case 3:
-					s.GPUs, s.Rank = 1, "idle"
+					s.GPUs, s.Priority = 1, "idle"
 				}
 				w.submit(s, cancel)
 			})
@@ -157,8 +157,8 @@
 	case 11:
 		for _, x := range ws {
 			if w.Chance(0.3) {
-				w.deaf[x.Ref] = true
-				w.After(2*long, func() { delete(w.deaf, x.Ref) })
+				w.deaf[x.ID] = true
+				w.After(2*long, func() { delete(w.deaf, x.ID) })
 			}
 		}
 	case 12: // again and again, in the middle of elections
@@ -181,8 +181,8 @@
 	case 14:
 		for _, x := range ws {
 			if w.Chance(0.4) {
-				w.mute[x.Ref] = true
-				w.After(long, func() { delete(w.mute, x.Ref) })
+				w.mute[x.ID] = true
+				w.After(long, func() { delete(w.mute, x.ID) })
 			}
 		}
 	case 15, 16:
@@ -196,7 +196,7 @@
 			if u.accepted && u.ended == "" && w.Chance(0.5) {
 				u.cancel(nil)
 				for _, x := range ws {
-					if x.Has(u.sub.Ref) && w.Chance(0.5) {
+					if x.Has(u.sub.ID) && w.Chance(0.5) {
 						x.Hang(true)
 						w.After(long, func() { x.Hang(false) })
 					}
@@ -206,7 +206,7 @@
 	case 18: // a zone with its workers and a controller
 		n.setCut(dropped)
 		n.alone, n.hidden = true, true
-		w.reaches = func(x *standin.Worker, o *simNode) bool { return (x.Yard == "a") == (o == n) }
+		w.reaches = func(x *standin.Worker, o *simNode) bool { return (x.Zone == "a") == (o == n) }
 		w.After(long, func() {
 			n.setCut(open)
 			n.alone, n.hidden = false, false
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -174,15 +174,15 @@
 // the repetition would be refused by itself.
 func TestLostAcceptance(t *testing.T) {
 	w := newWorld(t, 7)
-	w.until(5*model.Second, "a leader that knows the machine types", func() bool { return len(w.nodes[0].ctl.view.Flavors) > 0 })
+	w.until(5*model.Second, "a leader that knows the machine types", func() bool { return len(w.nodes[0].ctl.view.MachineTypes) > 0 })
 	w.Run(w.Now + model.Second)
 	s := sweepJob(1, 3, 5)
-	w.rules.Subs[s.Ref] = s.Job(0)
-	w.nodes[0].ask(msgSubmit{s.Ref, s, nil, make(chan userapi.Answer, 1)}, nil)
-	w.until(model.Second, "it is accepted", func() bool { return w.state.Has("job/" + s.Ref) })
+	w.rules.Subs[s.ID] = s.Job(0)
+	w.nodes[0].ask(msgSubmit{s.ID, s, nil, make(chan userapi.Answer, 1)}, nil)
+	w.until(model.Second, "it is accepted", func() bool { return w.state.Has("job/" + s.ID) })
 	w.nodes[0].crash()
-	for _, m := range []msgSubmit{{ref: s.Ref, sub: s}, {ref: s.Ref, err: errors.New("malformed")},
-		{ref: s.Ref, sub: func() *model.Submission { c := *s; c.Owner = "nobody"; return &c }()}} {
+	for _, m := range []msgSubmit{{ref: s.ID, sub: s}, {ref: s.ID, err: errors.New("malformed")},
+		{ref: s.ID, sub: func() *model.Submission { c := *s; c.Team = "nobody"; return &c }()}} {
 		reply := make(chan userapi.Answer, 1)
 		m.reply = reply
 		w.nodes[1].ask(m, nil)
@@ -200,7 +200,7 @@
 	w.until(60*model.Second, "done", func() bool { return u.ended == "done" })
 	n := w.nodes[1]
 	n.ctl.view = state.NewView() // a node that knows nothing
-	n.ctl.view.Flavors, n.ctl.wantList = simFlavors, true
+	n.ctl.view.MachineTypes, n.ctl.wantList = simMachineTypes, true
 	reply := make(chan userapi.Answer, 1)
 	n.ask(msgSubmit{"j-000001", sweepJob(1, 2, 2), nil, reply}, nil)
 	w.until(2*model.Second, "an answer", func() bool { return len(reply) == 1 })
@@ -258,7 +258,7 @@
 	n.setCut(refused)
 	w.Run(w.Now + 3*model.Second)
 	reply := make(chan userapi.Answer, 1)
-	n.ask(msgPoll{"j-000001", reply}, nil)
+	n.ask(msgStatusQuery{"j-000001", reply}, nil)
 	if len(reply) != 1 {
 		t.Fatal("a poll that can't be answered is held")
 	}
@@ -297,7 +297,7 @@
 	for range 4 {
 		w.led(20 * model.Second)
 		n := w.leader()
-		sum := map[string]model.Need{}
+		sum := map[string]model.Resources{}
 		for _, g := range n.ctl.view.Grants {
 			for team, c := range g.Credit {
 				sum[team] = sum[team].Plus(c)
@@ -305,7 +305,7 @@
 		}
 		for name, team := range n.ctl.teams {
 			if !team.Within(sum[name]) {
-				t.Fatalf("credits of %s are %v, the limit is %v", name, sum[name], team.Max)
+				t.Fatalf("credits of %s are %v, the limit is %v", name, sum[name], team.Limit)
 			}
 		}
 		n.crash()
@@ -344,7 +344,7 @@
 	var us []*user
 	for i := range 2 {
 		s := sweepJob(i, 100_000, 1)
-		s.Cores, s.MemoryGB, s.Owner, s.ImageGB = 0.001, 0.001, "red", 0.1
+		s.Cores, s.MemoryGB, s.Team, s.ImageGB = 0.001, 0.001, "red", 0.1
 		us = append(us, w.submit(s, 0))
 	}
 	w.until(60*model.Second, "they run", func() bool { return w.rules.OnMachine() > 1000 })
@@ -352,7 +352,7 @@
 	w.check()
 	done := 0
 	for _, u := range us {
-		s := w.nodes[0].ctl.view.Done(u.sub.Ref)
+		s := w.nodes[0].ctl.view.Done(u.sub.ID)
 		done += s.Len()
 	}
 	if done < 1500 {
@@ -375,7 +375,7 @@
 	w.Run(w.Now + spans.TTL + model.Second)
 	reply := make(chan workerAnswer, 1)
 	r := simReport("host-z")
-	n.ask(msgCheckin{report: r, reply: reply}, nil)
+	n.ask(msgReport{report: r, reply: reply}, nil)
 	if a := <-reply; a.code == 200 {
 		t.Fatal("a worker was answered without authority")
 	}
@@ -398,7 +398,7 @@
 // submit meanwhile is accepted at once all the same.
 func TestSlowAcceptanceHoldsUpNoOther(t *testing.T) {
 	w := newWorld(t, 43)
-	w.until(10*model.Second, "machine types are known", func() bool { return len(w.nodes[0].ctl.view.Flavors) > 0 })
+	w.until(10*model.Second, "machine types are known", func() bool { return len(w.nodes[0].ctl.view.MachineTypes) > 0 })
 	n := w.nodes[0]
 	slow := 0
 	n.intercept = func(m msgCommitted) bool {
@@ -411,7 +411,7 @@
 	accept := func(i int) (code int) {
 		reply := make(chan userapi.Answer, 1)
 		s := sweepJob(i, 1, 5)
-		n.ask(msgSubmit{s.Ref, s, nil, reply}, nil)
+		n.ask(msgSubmit{s.ID, s, nil, reply}, nil)
 		for range 30 {
 			w.Run(w.Now + 10*model.Millisecond)
 			if len(reply) > 0 {
@@ -452,17 +452,17 @@
 		}
 		for i := range userLanes {
 			s := sweepJob(10+i, 1, 1)
-			n.ask(msgSubmit{s.Ref, s, nil, make(chan userapi.Answer, 1)}, nil)
+			n.ask(msgSubmit{s.ID, s, nil, make(chan userapi.Answer, 1)}, nil)
 		}
 		if len(lanes) != userLanes {
 			t.Fatalf("%d transactions on their way", len(lanes))
 		}
 		w.Run(w.Now + 6*model.Second) // of eight
 		reply := make(chan userapi.Answer, 1)
-		w.rules.Ask(u.sub.Ref)
-		n.ask(msgWithdraw{u.sub.Ref, reply}, nil)
+		w.rules.Ask(u.sub.ID)
+		n.ask(msgCancel{u.sub.ID, reply}, nil)
 		w.until(4*model.Second, "the end is written while the cancellation waits", func() bool {
-			_, ended := n.ctl.view.Final(u.sub.Ref)
+			_, ended := n.ctl.view.Final(u.sub.ID)
 			return ended && len(n.ctl.users) > 0
 		})
 		blocked = false
@@ -476,7 +476,7 @@
 		}
 		for _, o := range w.nodes {
 			w.Run(w.Now + model.Second)
-			if end, _ := o.ctl.view.Final(u.sub.Ref); end != state.Done {
+			if end, _ := o.ctl.view.Final(u.sub.ID); end != state.Done {
 				t.Errorf("seed %d: %s says %q of a done job", seed, o.name, end)
 			}
 		}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -33,7 +33,7 @@
 			s := sweepJob(i, 40, 25)
 			if i%4 == 0 {
 				s = gangJob(i, 4, 25)
-				s.SamePlace = i%8 == 0
+				s.SameZone = i%8 == 0
 			}
 			cancel := model.Micros(0)
 			if i%9 == 0 {
@@ -55,7 +55,7 @@
 			x.Hang(true)
 			w.After(w.Between(20*model.Second, 40*model.Second), func() { x.Hang(false) })
 		case i%6 == 2:
-			w.cut[x.Ref] = true
+			w.cut[x.ID] = true
 		}
 	}
 	w.After(50*model.Second, func() {
@@ -96,7 +96,7 @@
 			accepted++
 		}
 		if u.accepted && u.ended == "" {
-			t.Errorf("%s never ended", u.sub.Ref)
+			t.Errorf("%s never ended", u.sub.ID)
 		}
 	}
 	if accepted < len(us)*9/10 || w.rules.Starts < 9000 {
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -83,8 +83,8 @@
 
 func (io *inputOutput) flavors() {
 	go func() {
-		fs, err := io.cloud.Flavors(cloudPatience)
-		io.send(msgFlavors{fs, err})
+		fs, err := io.cloud.MachineTypes(cloudPatience)
+		io.send(msgMachineTypes{fs, err})
 	}()
 }
 
@@ -100,9 +100,9 @@
 // nothing twice.
 func (io *inputOutput) rent(m msgRented) {
 	go func() {
-		for try := 0; ; try++ {
-			m.hosts, m.err = io.cloud.Rent(&m.rental, cloudPatience)
-			if m.err == nil || errors.Is(m.err, cloud.ErrNoCapacity) || try == 4 {
+		for attempt := 0; ; attempt++ {
+			m.machines, m.err = io.cloud.Rent(&m.rental, cloudPatience)
+			if m.err == nil || errors.Is(m.err, cloud.ErrNoCapacity) || attempt == 4 {
 				break
 			}
 			if !pause(io.ctx, model.Second) {
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -55,21 +55,21 @@
 	return u
 }
 
-func (m *meeting) sweep(pieces int, guess float64) *user {
+func (m *meeting) sweep(tasks int, guess float64) *user {
 	m.next++
-	return m.add(sweepJob(m.next, pieces, guess))
+	return m.add(sweepJob(m.next, tasks, guess))
 }
 
-func (m *meeting) gang(pieces int, guess float64) *user {
+func (m *meeting) gang(tasks int, guess float64) *user {
 	m.next++
-	return m.add(gangJob(m.next, pieces, guess))
+	return m.add(gangJob(m.next, tasks, guess))
 }
 
 // load is a mixed load: what runs long, what is short, and a service.
 func (m *meeting) load() (long *user, gang *user, service *user) {
 	long, gang = m.sweep(6, 300), m.gang(3, 300)
 	s := sweepJob(500, 2, 0)
-	s.Shape, s.Rank, s.Loaners, s.Apart = "service", "critical", false, true
+	s.Kind, s.Priority, s.AllowsSpot, s.Spread = "service", "critical", false, true
 	service = m.add(s)
 	for range 3 {
 		m.sweep(4, 20)
@@ -80,7 +80,7 @@
 	return long, gang, service
 }
 
-func (m *meeting) on(u *user) int { return m.rules.OnMachineOf(u.sub.Ref) }
+func (m *meeting) on(u *user) int { return m.rules.OnMachineOf(u.sub.ID) }
 
 func (m *meeting) ready() *simNode {
 	if l := m.leader(); l != nil && l.ctl.leading.ready {
@@ -112,7 +112,7 @@
 	m.t.Helper()
 	m.until(limit, "the cancellations are confirmed", func() bool {
 		for _, u := range us {
-			if m.rules.Ended(u.sub.Ref) != "withdrawn" {
+			if m.rules.Ended(u.sub.ID) != "withdrawn" {
 				return false
 			}
 		}
@@ -157,7 +157,7 @@
 	m.sweep(3, 5)
 	m.gang(2, 5)
 	for _, u := range m.us {
-		if u.sub.Shape == "service" {
+		if u.sub.Kind == "service" {
 			u.cancelAt = m.Now + 40*model.Second
 		}
 	}
@@ -168,8 +168,8 @@
 	}
 	m.check()
 	for _, u := range m.us {
-		if m.rules.Accepted[u.sub.Ref] && m.rules.Ended(u.sub.Ref) == "" {
-			m.t.Fatalf("%s never ended: %s", u.sub.Ref, m.describe())
+		if m.rules.Accepted[u.sub.ID] && m.rules.Ended(u.sub.ID) == "" {
+			m.t.Fatalf("%s never ended: %s", u.sub.ID, m.describe())
 		}
 	}
 	if n := m.rules.CancelledStarts; n > 0 {
@@ -179,7 +179,7 @@
 
 func (m *meeting) allEnded() bool {
 	for _, u := range m.us {
-		if m.rules.Accepted[u.sub.Ref] && m.rules.Ended(u.sub.Ref) == "" {
+		if m.rules.Accepted[u.sub.ID] && m.rules.Ended(u.sub.ID) == "" {
 			return false
 		}
 	}
@@ -191,9 +191,9 @@
 func (m *meeting) over(us ...*user) {
 	m.t.Helper()
 	for _, u := range us {
-		m.Run(max(m.Now, m.rules.ToldAt(u.sub.Ref)+m.rules.Cancel))
+		m.Run(max(m.Now, m.rules.ToldAt(u.sub.ID)+m.rules.Cancel))
 		if n := m.on(u); n > 0 {
-			m.t.Fatalf("%d tasks of %s are on machines %v after its cancellation", n, u.sub.Ref, m.Now-m.rules.ToldAt(u.sub.Ref))
+			m.t.Fatalf("%d tasks of %s are on machines %v after its cancellation", n, u.sub.ID, m.Now-m.rules.ToldAt(u.sub.ID))
 		}
 	}
 	m.check()
@@ -222,7 +222,7 @@
 		m.Run(end)
 		told := 0
 		for _, u := range us {
-			if m.rules.Ended(u.sub.Ref) == "withdrawn" && m.on(u) > 0 {
+			if m.rules.Ended(u.sub.ID) == "withdrawn" && m.on(u) > 0 {
 				told++
 			}
 		}
@@ -231,7 +231,7 @@
 		}
 	}
 	for _, u := range us {
-		t.Logf("%s: %q, %d tasks", u.sub.Ref, m.rules.Ended(u.sub.Ref), m.on(u))
+		t.Logf("%s: %q, %d tasks", u.sub.ID, m.rules.Ended(u.sub.ID), m.on(u))
 	}
 	t.Fatalf("the cancellations are not confirmed in time, or nothing of the jobs runs\n%s", m.describe())
 	return nil, nil, nil, 0
@@ -259,7 +259,7 @@
 					m, l, cancelled, cut := refusedAlone(t, ts, uint64(100+i*10+k), v.alone, until)
 					if v.hang {
 						for j, x := range m.cloud.Workers() {
-							if x.Has(cancelled[0].sub.Ref) {
+							if x.Has(cancelled[0].sub.ID) {
 								x.Hang(true)
 								m.After(m.lease()/2+model.Micros(j)*model.Second, func() { x.Hang(false) })
 							}
@@ -267,7 +267,7 @@
 					}
 					if v.mute {
 						for j, x := range m.cloud.Workers() {
-							m.mute[x.Ref] = j%2 == 0
+							m.mute[x.ID] = j%2 == 0
 						}
 					}
 					m.Run(cut + until)
@@ -374,7 +374,7 @@
 				u.then = func() { u.cancelAt = m.Now + 10*model.Second }
 			}
 			low := sweepJob(200+i, 8, 10)
-			low.Rank = "idle"
+			low.Priority = "idle"
 			m.add(low)
 		}
 		m.until(60*model.Second, "there is more work than room", func() bool {
@@ -383,7 +383,7 @@
 				return false
 			}
 			waiting := 0
-			for _, j := range l.ctl.leading.h.Jobs {
+			for _, j := range l.ctl.leading.block.Jobs {
 				waiting += len(j.Waiting)
 			}
 			return waiting > 20
@@ -433,7 +433,7 @@
 	{"a report is held back until a new leader has acted", func(m *meeting) {
 		long, _, _ := m.load()
 		for i, x := range m.cloud.Workers() {
-			m.cut[x.Ref] = i%2 == 0
+			m.cut[x.ID] = i%2 == 0
 		}
 		m.sweep(6, 10)
 		m.Run(m.Now + m.report())
@@ -442,7 +442,7 @@
 		long.cancel(m.other(l))
 		m.until(60*model.Second, "a new leader has acted", func() bool {
 			n := m.ready()
-			return n != nil && n.ctl.leading.h.Queued() == 0 && len(n.ctl.leading.h.Hosts) > 0
+			return n != nil && n.ctl.leading.block.Queued() == 0 && len(n.ctl.leading.block.Machines) > 0
 		})
 		m.Run(m.Now + m.report())
 		late := m.late
@@ -462,15 +462,15 @@
 			s := sweepJob(200+i, 6, 60)
 			if i == 2 {
 				s = gangJob(202, 3, 60)
-				s.SamePlace = true
+				s.SameZone = true
 			}
-			s.Yard = &yard
+			s.Zone = &yard
 			bound = append(bound, m.add(s))
 		}
 		m.until(90*model.Second, "they run", func() bool { return m.on(bound[0]) > 0 && m.on(bound[2]) == 3 })
 		lost := 0
 		for i, x := range m.cloud.Workers() {
-			if x.Yard == yard && x.Tasks() > 0 && i%3 < 2 {
+			if x.Zone == yard && x.Tasks() > 0 && i%3 < 2 {
 				lost++
 				if i%3 == 0 {
 					x.Die()
@@ -492,7 +492,7 @@
 		l := m.leads()
 		l.setCut(dropped)
 		l.alone, l.hidden = true, true
-		m.reaches = func(x *standin.Worker, n *simNode) bool { return (x.Yard == "a") == (n == l) }
+		m.reaches = func(x *standin.Worker, n *simNode) bool { return (x.Zone == "a") == (n == l) }
 		via := m.other(l)
 		m.sweep(4, 10)
 		long.cancel(via)
@@ -514,8 +514,8 @@
 			m.Run(m.Now + 12*model.Second)
 			if l := m.ready(); l != nil {
 				for _, u := range m.us {
-					s := l.ctl.view.Done(u.sub.Ref)
-					if n := s.Len(); n > 0 && n < u.sub.Pieces {
+					s := l.ctl.view.Done(u.sub.ID)
+					if n := s.Len(); n > 0 && n < u.sub.Tasks {
 						changes++
 					}
 				}
@@ -533,10 +533,10 @@
 			switch {
 			case x.Tasks() == 0:
 			case i%3 == 0:
-				m.mute[x.Ref] = true
+				m.mute[x.ID] = true
 				unreached++
 			case i%3 == 1:
-				m.deaf[x.Ref] = true
+				m.deaf[x.ID] = true
 				unhearing++
 			}
 		}
@@ -662,7 +662,7 @@
 	{"workers reach no controller", func(m *meeting) {
 		long, gang, _ := m.load()
 		for i, x := range m.cloud.Workers() {
-			m.mute[x.Ref] = i%3 != 2
+			m.mute[x.ID] = i%3 != 2
 		}
 		long.cancel(nil)
 		gang.cancel(nil)
@@ -739,7 +739,7 @@
 		}
 		for i := range 12 {
 			u := m.sweep(1+i%3, 5)
-			byRef[u.sub.Ref] = u
+			byRef[u.sub.ID] = u
 		}
 		m.Run(m.Now + 60*model.Second)
 		// Once more, while cancellations wait for others' transactions that get no answer.
@@ -747,7 +747,7 @@
 		m.lateWrites, m.lateBy = 0.9, m.atOnce
 		for i := range 60 {
 			u := m.sweep(1+i%3, 3)
-			byRef[u.sub.Ref] = u
+			byRef[u.sub.ID] = u
 			m.Run(m.Now + 150*model.Millisecond)
 		}
 		m.Run(m.Now + 60*model.Second)
@@ -762,14 +762,14 @@
 func atTheLimit(m *meeting, teams ...string) {
 	var cancelled, waiting []*user
 	for i, team := range teams {
-		most := int(m.rules.Teams[team].Max.Cores / 2000)
+		most := int(m.rules.Teams[team].Limit.Cores / 2000)
 		s := sweepJob(300+i, most, 400)
-		s.Owner = team
+		s.Team = team
 		cancelled = append(cancelled, m.add(s))
 	}
 	m.until(120*model.Second, "the teams are at their limits", func() bool {
 		for _, team := range teams {
-			if m.rules.Used(team).Cores < m.rules.Teams[team].Max.Cores {
+			if m.rules.Used(team).Cores < m.rules.Teams[team].Limit.Cores {
 				return false
 			}
 		}
@@ -777,7 +777,7 @@
 	})
 	for i, team := range teams {
 		s := sweepJob(310+i, 6, 10)
-		s.Owner = team
+		s.Team = team
 		waiting = append(waiting, m.add(s))
 	}
 	for i, x := range m.cloud.Workers() {
@@ -786,7 +786,7 @@
 			x.Hang(true)
 			m.After(m.lease()*3/4, func() { x.Hang(false) })
 		case 1:
-			m.mute[x.Ref] = true
+			m.mute[x.ID] = true
 		}
 	}
 	m.restart(m.leads(), model.Second)
@@ -799,7 +799,7 @@
 	m.over(cancelled...)
 	m.until(150*model.Second, "what waited runs", func() bool {
 		for _, u := range waiting {
-			if m.rules.Ended(u.sub.Ref) != "done" {
+			if m.rules.Ended(u.sub.ID) != "done" {
 				return false
 			}
 		}
@@ -827,7 +827,7 @@
 func TestOddRequests(t *testing.T) {
 	m := newMeeting(t, meetingTimes[0], 77)
 	done, gone := m.sweep(1, 2), m.sweep(1, 300)
-	m.until(60*model.Second, "one is done", func() bool { return m.rules.Ended(done.sub.Ref) == "done" })
+	m.until(60*model.Second, "one is done", func() bool { return m.rules.Ended(done.sub.ID) == "done" })
 	gone.cancel(nil)
 	m.withdrawn(10*model.Second, gone)
 	m.Run(m.Now + 20*model.Second)
@@ -840,26 +840,26 @@
 	submit := func(change func(s *model.Submission)) func(chan<- userapi.Answer) any {
 		s := sweepJob(900, 1, 5)
 		change(s)
-		return func(r chan<- userapi.Answer) any { return msgSubmit{s.Ref, s, nil, r} }
+		return func(r chan<- userapi.Answer) any { return msgSubmit{s.ID, s, nil, r} }
 	}
 	cases := []struct {
 		name string
 		msg  func(chan<- userapi.Answer) any
 		code int
 	}{
-		{"unknown team", submit(func(s *model.Submission) { s.Owner = "nobody" }), 422},
+		{"unknown team", submit(func(s *model.Submission) { s.Team = "nobody" }), 422},
 		{"too large for a machine", submit(func(s *model.Submission) { s.Cores = 1000 }), 422},
-		{"beyond the team's limit", submit(func(s *model.Submission) { s.Owner, s.GPUs, s.Shape, s.Pieces = "blue", 1, "gang", 5 }), 422},
-		{"no such type", submit(func(s *model.Submission) { s.Builds = []string{"none"} }), 422},
+		{"beyond the team's limit", submit(func(s *model.Submission) { s.Team, s.GPUs, s.Kind, s.Tasks = "blue", 1, "gang", 5 }), 422},
+		{"no such type", submit(func(s *model.Submission) { s.MachineTypes = []string{"none"} }), 422},
 		{"a field missing", func(r chan<- userapi.Answer) any {
 			_, ref, err := model.ParseSubmission([]byte(`{"ref":"j-000901","pieces":1}`))
 			return msgSubmit{ref, nil, err, r}
 		}, 400},
-		{"a job never submitted", func(r chan<- userapi.Answer) any { return msgPoll{"j-000999", r} }, 404},
-		{"cancelling one never submitted", func(r chan<- userapi.Answer) any { return msgWithdraw{"j-000999", r} }, 404},
-		{"cancelling a done job", func(r chan<- userapi.Answer) any { return msgWithdraw{done.sub.Ref, r} }, 200},
-		{"repeating a done job, altered", submit(func(s *model.Submission) { s.Ref, s.Owner = done.sub.Ref, "nobody" }), 200},
-		{"repeating a withdrawn job", submit(func(s *model.Submission) { s.Ref = gone.sub.Ref }), 200},
+		{"a job never submitted", func(r chan<- userapi.Answer) any { return msgStatusQuery{"j-000999", r} }, 404},
+		{"cancelling one never submitted", func(r chan<- userapi.Answer) any { return msgCancel{"j-000999", r} }, 404},
+		{"cancelling a done job", func(r chan<- userapi.Answer) any { return msgCancel{done.sub.ID, r} }, 200},
+		{"repeating a done job, altered", submit(func(s *model.Submission) { s.ID, s.Team = done.sub.ID, "nobody" }), 200},
+		{"repeating a withdrawn job", submit(func(s *model.Submission) { s.ID = gone.sub.ID }), 200},
 	}
 	writes := 0
 	for _, n := range m.nodes {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -13,7 +13,7 @@
 // channel gives it a buffer of one, so that the actor never waits.
 type (
 	// msgPoll, msgSubmit and msgWithdraw are users' requests.
-	msgPoll struct {
+	msgStatusQuery struct {
 		ref   string
 		reply chan<- userapi.Answer
 	}
@@ -23,14 +23,14 @@
 		err   error
 		reply chan<- userapi.Answer
 	}
-	msgWithdraw struct {
+	msgCancel struct {
 		ref   string
 		reply chan<- userapi.Answer
 	}
 	// msgUp is a health check.
 	msgUp struct{ reply chan<- bool }
 	// msgCheckin is a worker's report.
-	msgCheckin struct {
+	msgReport struct {
 		report *block.Report
 		reply  chan<- workerAnswer
 		// relayed tells that it came through a sibling.
@@ -61,8 +61,8 @@
 		token  uint64 // the grant it ran under
 	}
 	// Answers of the cloud.
-	msgFlavors struct {
-		builds []model.Flavor
+	msgMachineTypes struct {
+		builds []model.MachineType
 		err    error
 	}
 	msgListed struct {
@@ -71,11 +71,11 @@
 		err      error
 	}
 	msgRented struct {
-		rental cloud.Rental
-		offer  slack.Offer
-		hosts  []string
-		err    error
-		term   uint64
+		rental   cloud.Rental
+		offer    slack.Offer
+		machines []string
+		err      error
+		term     uint64
 	}
 	msgDeleted struct {
 		refs []string
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -176,7 +176,7 @@
 // User answers a user's request by what this controller itself knows.
 func (f *front) User(method, path string, body []byte) userapi.Answer {
 	route, ref := userapi.Parse(method, path)
-	if (route == userapi.Poll || route == userapi.Withdraw) && !model.ValidRef(ref) {
+	if (route == userapi.Poll || route == userapi.Withdraw) && !model.ValidJobID(ref) {
 		return userapi.Error(404, "no such job", 0)
 	}
 	reply := make(chan userapi.Answer, 1)
@@ -194,9 +194,9 @@
 		}
 		return askUser(f.mail, msgSubmit{ref, sub, err, reply}, reply, patienceUser)
 	case userapi.Poll:
-		return askUser(f.mail, msgPoll{ref, reply}, reply, patiencePoll)
+		return askUser(f.mail, msgStatusQuery{ref, reply}, reply, patiencePoll)
 	case userapi.Withdraw:
-		return askUser(f.mail, msgWithdraw{ref, reply}, reply, patienceUser)
+		return askUser(f.mail, msgCancel{ref, reply}, reply, patienceUser)
 	}
 	return userapi.Error(404, "no such page", 0)
 }
@@ -209,7 +209,7 @@
 		return
 	}
 	reply := make(chan workerAnswer, 1)
-	a, got := ask(f.mail, msgCheckin{report: r, reply: reply}, reply, patienceWorker)
+	a, got := ask(f.mail, msgReport{report: r, reply: reply}, reply, patienceWorker)
 	if !got {
 		answer(rc, userapi.Error(503, "busy", 1))
 		return
@@ -280,11 +280,11 @@
 		return
 	}
 	args := make([]any, 0, 8)
-	if e.Host != "" {
-		args = append(args, "host", e.Host)
+	if e.Machine != "" {
+		args = append(args, "machine", e.Machine)
 	}
-	if e.Piece != "" {
-		args = append(args, "piece", e.Piece, "try", e.Try)
+	if e.Task != "" {
+		args = append(args, "task", e.Task, "attempt", e.Attempt)
 	}
 	if e.Why != "" {
 		args = append(args, "why", e.Why)
--- /dev/null
+++ b/internal/node/provisioning.go
@@ -0,0 +1,295 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+
+	"woadweir/internal/cloud"
+	"woadweir/internal/core/model"
+	"woadweir/internal/core/slack"
+	"woadweir/internal/state"
+)
+
+// Rhythm of the leader's dealings with the cloud.
+const (
+	machineTypesGap = 30 * model.Second
+	listGap         = 1500 * model.Millisecond
+	provisionGap    = 500 * model.Millisecond
+	sweepGap        = 500 * model.Millisecond
+	forgetMachine   = 600 * model.Second
+	forgetTaskSize  = 180 * model.Second
+)
+
+func (l *leadership) gotMachineTypes(m msgMachineTypes) {
+	c := l.c
+	l.machineTypesBusy = false
+	if m.err != nil || len(m.builds) == 0 {
+		slog.Debug("machine types", "err", m.err)
+		l.cloudBad = c.now
+		return
+	}
+	l.machineTypesKnown, l.cloudGood = true, c.now
+	same := len(m.builds) == len(c.view.MachineTypes)
+	for i := range m.builds {
+		same = same && m.builds[i].Name == c.view.MachineTypes[i].Name && m.builds[i].Size() == c.view.MachineTypes[i].Size()
+	}
+	if !same && !c.busy[laneMisc] {
+		// As many as a value bears: with some of them it can be told of most
+		// submissions, after an outage of the cloud, that they can run.
+		rec := state.MachineTypesRecord{MachineTypes: m.builds}
+		for len(rec.MachineTypes) > 0 && !c.fits(rec) {
+			rec.MachineTypes = rec.MachineTypes[:len(rec.MachineTypes)-1]
+		}
+		t := &state.Txn{Guards: []state.Guard{{Path: "leader", Stamp: c.view.Stamps["leader"]}, {Path: "flavors", Stamp: c.view.Stamps["flavors"]}},
+			Then: []state.Op{{Set: "flavors", Value: rec}}}
+		c.send(laneMisc, msgCommitted{txn: t, token: l.token})
+	}
+	if l.ready {
+		l.block.SetMachineTypes(m.builds)
+		l.provisionSoon = true
+	}
+}
+
+func (c *controller) gotMachineTypes(m msgMachineTypes) {
+	if c.leading != nil {
+		c.leading.gotMachineTypes(m)
+	}
+}
+
+func (c *controller) listed(m msgListed) {
+	l := c.leading
+	if l == nil || !l.ready {
+		return
+	}
+	l.listBusy = false
+	if m.err != nil {
+		l.cloudBad = c.now
+		return
+	}
+	l.cloudGood = c.now
+	l.seenLists++
+	in := make(map[string]bool, len(m.machines))
+	for i := range m.machines {
+		x := &m.machines[i]
+		in[x.ID] = true
+		if l.deletedMachines[x.ID] != 0 {
+			continue
+		}
+		h := l.block.Machines[x.ID]
+		if h == nil {
+			h = l.block.AddMachine(x.ID, x.MachineType, x.Zone, x.Spot, c.now)
+			h.RentedAt = m.sent - model.Seconds(x.HeldS)
+			slog.Info("listed", "machine", x.ID, "type", x.MachineType, "status", x.Status)
+		}
+		h.Listed = true
+		if x.Status == "failed" && !h.Failed {
+			h.Failed = true
+			slog.Info("failed", "machine", x.ID)
+		}
+	}
+	for ref, h := range l.block.Machines {
+		if in[ref] || !h.Listed {
+			delete(l.missingFromLists, ref)
+			continue
+		}
+		l.missingFromLists[ref]++
+	}
+}
+
+func (c *controller) rented(m msgRented) {
+	l := c.leading
+	if l == nil || l.token != m.term {
+		return
+	}
+	delete(l.pendingRentals, m.rental.RequestID)
+	l.provisionSoon = true
+	if m.err != nil {
+		if !errors.Is(m.err, cloud.ErrNoCapacity) {
+			l.cloudBad = c.now
+		}
+		slog.Info("rent refused", "type", m.rental.MachineType, "zone", m.rental.Zone, "spot", m.rental.Spot, "err", m.err)
+		l.provisioner.Refuse(m.offer, c.now)
+		return
+	}
+	l.cloudGood = c.now
+	if len(m.machines) < m.rental.Count {
+		l.provisioner.Refuse(m.offer, c.now)
+	}
+	slog.Info("rented", "type", m.rental.MachineType, "zone", m.rental.Zone, "spot", m.rental.Spot, "machines", m.machines)
+	for _, ref := range m.machines {
+		if l.deletedMachines[ref] == 0 {
+			l.block.AddMachine(ref, m.rental.MachineType, m.rental.Zone, m.rental.Spot, c.now)
+		}
+	}
+}
+
+func (c *controller) deleted(m msgDeleted) {
+	l := c.leading
+	if l == nil || l.token != m.term {
+		return
+	}
+	if m.err != nil {
+		l.cloudBad = c.now
+		for _, ref := range m.refs {
+			l.pendingDeletions[ref] = c.now + model.Second // again then
+		}
+		return
+	}
+	l.cloudGood = c.now
+	for _, ref := range m.refs {
+		delete(l.pendingDeletions, ref)
+		l.deletedMachines[ref] = c.now
+		l.block.MachineDeleted(ref, "deleted", c.now)
+		slog.Info("deleted", "machine", ref)
+	}
+	l.provisionSoon = true
+}
+
+// cloudOK tells whether the cloud answered last.
+func (l *leadership) cloudOK() bool { return l.cloudGood > l.cloudBad }
+
+// giveBack decides that a machine is returned. There is no way back: a deletion
+// that got no answer may still be carried out.
+func (l *leadership) returnMachine(h *model.Machine, why string) {
+	if h.Deleting {
+		return
+	}
+	h.Deleting = true
+	l.pendingDeletions[h.ID] = 0
+	slog.Info("give back", "machine", h.ID, "type", h.MachineType, "why", why)
+}
+
+// lists is how many lists in a row have to lack a machine until it is taken to
+// be gone. What has been listed stays listed until it is gone, but a list may be
+// older than the one before it, so a young machine may be missing from one.
+func (l *leadership) lists(h *model.Machine) int {
+	if l.c.now-h.RentedAt > 5*model.Seconds(l.c.set.Params.Cloud.ListLagS) {
+		return 1
+	}
+	return 2
+}
+
+// deafAlone tells that few machines do not hear us. When many don't, the fault may
+// be ours, as when this controller falls behind, and returning them all would be
+// worse than any of it.
+func (l *leadership) fewUnreachable() bool {
+	mute := 0
+	for _, h := range l.block.Machines {
+		if h.UnansweredSince != 0 {
+			mute++
+		}
+	}
+	return mute <= max(1, len(l.block.Machines)/4)
+}
+
+// clean returns machines that are of no use, and sends deletions.
+func (l *leadership) returnUselessMachines() {
+	c := l.c
+	alone := l.fewUnreachable()
+	for ref, h := range l.block.Machines {
+		f := l.block.MachineTypes[h.MachineType]
+		silent := c.now - max(h.LastHeartbeat, h.RentedAt)
+		switch {
+		case h.Deleting:
+		case h.Failed:
+			l.returnMachine(h, "failed")
+		case l.missingFromLists[ref] >= l.lists(h) && silent > 2*l.block.Params.Report:
+			l.returnMachine(h, "not listed any more")
+		case h.Up && h.Lost && silent > l.block.LeaseExpiry()+5*model.Second:
+			l.returnMachine(h, "silent")
+		case alone && l.block.Unreachable(h, c.now):
+			l.returnMachine(h, "does not hear")
+		case h.Draining && len(h.Bindings) == 0:
+			l.returnMachine(h, "not wanted")
+		case !h.Up && f != nil && len(h.Bindings) == 0 && c.now-h.RentedAt > max(model.Seconds(f.BootS*l.provisioner.Params.FailedAfterBoots), 60*model.Second):
+			l.returnMachine(h, "never came up")
+		}
+	}
+	for ref, at := range l.deletedMachines {
+		if c.now-at > forgetMachine {
+			delete(l.deletedMachines, ref)
+		}
+	}
+	var refs []string
+	for ref, at := range l.pendingDeletions {
+		if at == 0 || at > 0 && c.now >= at {
+			refs = append(refs, ref)
+			if len(refs) == 100 {
+				break
+			}
+		}
+	}
+	if len(refs) > 0 {
+		for _, ref := range refs {
+			l.pendingDeletions[ref] = -1 // on its way
+		}
+		c.io.remove(refs, l.token)
+	}
+}
+
+// rentLoop is a round of the renting loop.
+func (l *leadership) provision() {
+	c := l.c
+	l.lastProvisioning, l.nextProvisioning, l.provisionSoon = c.now, c.now+model.Seconds(float64(c.op.LoopPeriodS)), false
+	if len(l.block.MachineTypes) == 0 || l.seenLists == 0 {
+		// Before the first list it may seem that nothing is rented.
+		l.provisionSoon = true
+		return
+	}
+	w := l.block.World(c.now)
+	w.Sort()
+	in := &slack.Input{Now: c.now, Machines: w.Machines, MachineTypes: l.block.MachineTypes, CloudOK: l.cloudOK()}
+	for hire, r := range l.pendingRentals {
+		for k := range r.Count {
+			in.Machines = append(in.Machines, &model.Machine{ID: fmt.Sprintf("~%s-%d", hire, k), MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot,
+				Size: l.block.MachineTypes[r.MachineType].Size(), RentedAt: c.now, EmptySince: c.now})
+		}
+	}
+	room := map[string]model.Resources{}
+	for _, t := range c.teams {
+		room[t.Name] = t.Limit.Minus(w.Used[t.Name])
+	}
+	for _, j := range w.Jobs {
+		l.recentSizes[j.Request] = c.now
+		if len(j.Waiting) == 0 || c.now < j.NotBefore {
+			continue
+		}
+		need := j.Request
+		need.Mem = 0
+		k := need.Count(room[j.Team], len(j.Waiting))
+		if j.Kind == model.Gang && k < len(j.Waiting) {
+			continue
+		}
+		room[j.Team] = room[j.Team].Minus(need.Times(k))
+		if k > 0 {
+			in.Waiting = append(in.Waiting, slack.Demand{Job: j, Count: k})
+		}
+	}
+	for z, at := range l.recentSizes {
+		if c.now-at > forgetTaskSize {
+			delete(l.recentSizes, z)
+			continue
+		}
+		in.Sizes = append(in.Sizes, z)
+	}
+	out := l.provisioner.Round(in)
+	if l.cloudOK() || c.now-l.cloudBad > 2*model.Second {
+		for _, r := range out.Rent {
+			l.rentalCount++
+			// The token is this leader's alone, so no other process ever makes the
+			// same name.
+			hire := fmt.Sprintf("w%d-%d", l.token, l.rentalCount)
+			rental := cloud.Rental{RequestID: hire, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Count: r.Count}
+			l.pendingRentals[hire] = rental
+			slog.Info("rent", "request", hire, "type", r.MachineType, "zone", r.Zone, "spot", r.Spot, "count", r.Count, "unplaced", out.Unplaced)
+			c.io.rent(msgRented{rental: rental, offer: slack.Offer{MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot}, term: l.token})
+		}
+	}
+	for _, h := range out.GiveBack {
+		l.returnMachine(h, "idle")
+	}
+	if out.Unplaced > 0 {
+		l.provisionSoon = true
+	}
+}
--- a/internal/node/relay.go
+++ b/internal/node/relay.go
@@ -66,7 +66,7 @@
 }
 
 // askHome tells that a worker whose report was handed on had better come itself.
-func (c *controller) askHome(host string) bool {
+func (c *controller) askHome(machine string) bool {
 	if c.now-c.homeAt >= model.Second {
 		c.homeAt, c.home = c.now, 0
 	}
@@ -74,20 +74,20 @@
 	if limit := c.set.Params.Quota.FDLimit; limit > 0 && float64(c.direct()+c.home) >= crowdHome*float64(limit) {
 		return false
 	}
-	r := c.routes[host]
+	r := c.routes[machine]
 	if r.direct != 0 && c.now-r.direct < cameLately || r.asked != 0 && c.now-r.asked < askedLately {
 		return false
 	}
 	r.asked = c.now
-	c.routes[host] = r
+	c.routes[machine] = r
 	c.home++
 	return true
 }
 
 // sendOn gives the sibling to which a worker that comes anew is to go, "" if it may
 // stay.
-func (c *controller) sendOn(host string) string {
-	if _, here := c.seen[host]; here || len(c.relays) == 0 || c.now-c.pingedAt > 2*pingCrowd || c.crowd() < crowdFull {
+func (c *controller) sendOn(machine string) string {
+	if _, here := c.seen[machine]; here || len(c.relays) == 0 || c.now-c.pingedAt > 2*pingCrowd || c.crowd() < crowdFull {
 		return ""
 	}
 	c.relayNext++
@@ -106,20 +106,20 @@
 	return a
 }
 
-func (c *controller) checkin(m msgCheckin) {
+func (c *controller) report(m msgReport) {
 	leads := c.leading != nil
 	if leads && !m.relayed {
-		if to := c.sendOn(m.report.Host); to != "" {
+		if to := c.sendOn(m.report.Machine); to != "" {
 			m.reply <- workerAnswer{code: 421, body: workerapi.Elsewhere(to)}
 			return
 		}
 	}
 	if !m.relayed {
-		c.seen[m.report.Host] = c.now
+		c.seen[m.report.Machine] = c.now
 		if leads {
-			r := c.routes[m.report.Host]
+			r := c.routes[m.report.Machine]
 			r.direct = c.now
-			c.routes[m.report.Host] = r
+			c.routes[m.report.Machine] = r
 		}
 	}
 	switch {
@@ -131,10 +131,10 @@
 		m.reply <- a
 	case !c.leading.ready || !c.auth.Holds(c.now):
 		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
-	case m.relayed && c.askHome(m.report.Host):
+	case m.relayed && c.askHome(m.report.Machine):
 		m.reply <- workerAnswer{code: 421, body: workerapi.Elsewhere(c.set.NodeName)}
 	default:
-		c.leading.checkin(m)
+		c.leading.report(m)
 	}
 }
 
@@ -145,7 +145,7 @@
 		return 400, userapi.Error(400, err.Error(), 0).Body
 	}
 	reply := make(chan workerAnswer, 1)
-	a, got := ask(f.mail, msgCheckin{report: r, reply: reply, relayed: true}, reply, patienceRelay)
+	a, got := ask(f.mail, msgReport{report: r, reply: reply, relayed: true}, reply, patienceRelay)
 	if !got {
 		return 503, []byte("{}")
 	}
--- a/internal/node/relay_test.go
+++ b/internal/node/relay_test.go
@@ -20,16 +20,16 @@
 	w := newDeployment(t, 71, sockets(limit, large), map[string]int{"small/a/false": 20, "small/b/false": 20})
 	for i := range 40 {
 		s := sweepJob(i, 8, 40)
-		s.Owner, s.Cores = "red", 0.9
+		s.Team, s.Cores = "red", 0.9
 		if i%2 == 0 {
-			s.Owner = "blue"
+			s.Team = "blue"
 		}
 		w.submit(s, 0)
 	}
 	l := w.leader
 	up := func() (n int) {
-		for _, m := range l().ctl.leading.h.Hosts {
-			if m.Up && m.Hears && w.Now-m.Heard < 10*model.Second {
+		for _, m := range l().ctl.leading.block.Machines {
+			if m.Up && m.ReceivesAnswers && w.Now-m.LastHeartbeat < 10*model.Second {
 				n++
 			}
 		}
@@ -98,7 +98,7 @@
 	ws := w.cloud.Workers()
 	for i, x := range ws {
 		if i%2 == 0 {
-			w.away[x.Ref] = l.name
+			w.away[x.ID] = l.name
 		}
 	}
 	w.Run(w.Now + 40*model.Second)
@@ -106,8 +106,8 @@
 		t.Errorf("%d of 20 tasks are left, another leads: %v", n, w.leader() != l)
 	}
 	for _, x := range ws {
-		if m := l.ctl.leading.h.Hosts[x.Ref]; m.Lost || w.Now-m.Heard > 8*model.Second {
-			t.Errorf("%s was heard %.1f s ago", x.Ref, (w.Now - m.Heard).Seconds())
+		if m := l.ctl.leading.block.Machines[x.ID]; m.Lost || w.Now-m.LastHeartbeat > 8*model.Second {
+			t.Errorf("%s was heard %.1f s ago", x.ID, (w.Now - m.LastHeartbeat).Seconds())
 		}
 	}
 	clear(w.away)
--- /dev/null
+++ b/internal/node/responses.go
@@ -0,0 +1,69 @@
+package node
+
+import (
+	"woadweir/internal/core/block"
+	"woadweir/internal/workerapi"
+)
+
+// checkin takes a report. The response may wait a moment for bindings that the
+// report made possible.
+func (l *leadership) report(m msgReport) {
+	c := l.c
+	if l.deletedMachines[m.report.Machine] != 0 {
+		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
+		return
+	}
+	switch l.block.ApplyReport(m.report, c.now) {
+	case block.Stale:
+		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
+		return
+	case block.Deposed:
+		c.afterSync(func(bool) {})
+		m.reply <- workerAnswer{code: 421, body: workerapi.Elsewhere("")}
+		return
+	case block.Introduced:
+		m.reply <- workerAnswer{code: 200, body: workerapi.Answer(l.token, nil)}
+		return
+	}
+	l.place()
+	if l.awaits(m.report.Machine) {
+		l.pendingResponses = append(l.pendingResponses, pendingResponse{m, c.now + maxResponseDelay})
+		return
+	}
+	l.respond(m)
+}
+
+// awaits tells whether the response to a machine's report had better wait: for its
+// bindings to be durable, or for the round that may give it some.
+func (l *leadership) awaits(ref string) bool {
+	if l.block.Pending(ref) {
+		return true
+	}
+	m := l.block.Machines[ref]
+	return l.block.NeedsPlacement && m != nil && m.HasNews
+}
+
+func (l *leadership) respond(m msgReport) {
+	h := l.block.Machines[m.report.Machine]
+	if h == nil || h.WorkerSession != m.report.Session || h.Sequence != m.report.Sequence || h.Deleting || !l.c.auth.Holds(l.c.now) {
+		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
+		return
+	}
+	m.reply <- workerAnswer{code: 200, body: workerapi.Answer(l.token, l.block.Commands(m.report, l.c.now))}
+}
+
+// flush answers reports whose bindings are durable, or that waited enough.
+func (l *leadership) answerPending(all bool) {
+	if len(l.pendingResponses) == 0 {
+		return
+	}
+	keep := l.pendingResponses[:0]
+	for _, h := range l.pendingResponses {
+		if !all && l.awaits(h.msg.report.Machine) && l.c.now < h.until {
+			keep = append(keep, h)
+			continue
+		}
+		l.respond(h.msg)
+	}
+	l.pendingResponses = keep
+}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -103,9 +103,9 @@
 // copyLate is well over a lease.
 const copyLate = 60 * model.Second
 
-var simFlavors = []model.Flavor{
-	{Label: "small", Cores: 8, MemoryGB: 32, CacheGB: 20, FetchGBps: 1, Price: 1, LowPrice: 0.3, BootS: 5, Yards: []string{"a", "b"}},
-	{Label: "gpu", Cores: 16, GPUs: 4, MemoryGB: 64, CacheGB: 20, FetchGBps: 1, Price: 8, LowPrice: 2, BootS: 6, Yards: []string{"a", "b"}},
+var simMachineTypes = []model.MachineType{
+	{Name: "small", Cores: 8, MemoryGB: 32, CacheGB: 20, FetchGBps: 1, Price: 1, SpotPrice: 0.3, BootS: 5, Zones: []string{"a", "b"}},
+	{Name: "gpu", Cores: 16, GPUs: 4, MemoryGB: 64, CacheGB: 20, FetchGBps: 1, Price: 8, SpotPrice: 2, BootS: 6, Zones: []string{"a", "b"}},
 }
 
 func simSettings(name string) *config.Settings {
@@ -155,7 +155,7 @@
 	set := settings("")
 	w.rules = standin.NewRules(w.Sim, set.Teams(), model.Seconds(set.Params.Workers.CancelS))
 	ps := set.Params.Workers
-	w.cloud = standin.NewCloud(w.Sim, w, w.rules, simFlavors, standin.Times{Report: model.Seconds(ps.ReportS), Lease: model.Seconds(ps.LeaseS),
+	w.cloud = standin.NewCloud(w.Sim, w, w.rules, simMachineTypes, standin.Times{Report: model.Seconds(ps.ReportS), Lease: model.Seconds(ps.LeaseS),
 		GangWait: model.Seconds(ps.GangWaitS), GangPeer: model.Seconds(ps.GangPeerS)})
 	w.cloud.Capacity = capacity
 	for i := range 3 {
@@ -177,13 +177,13 @@
 
 func (w *world) Checkin(x *standin.Worker, node string, body []byte, answer func(int, []byte)) {
 	n := w.nodes[slices.Index(w.Nodes(), node)]
-	if w.away[x.Ref] == node || w.mute[x.Ref] || w.reaches != nil && !w.reaches(x, n) {
+	if w.away[x.ID] == node || w.mute[x.ID] || w.reaches != nil && !w.reaches(x, n) {
 		return
 	}
-	if w.deaf[x.Ref] {
+	if w.deaf[x.ID] {
 		answer = func(int, []byte) {}
 	}
-	if w.cut[x.Ref] {
+	if w.cut[x.ID] {
 		w.late = append(w.late, func(to *simNode) {
 			if to == nil {
 				to = n
@@ -215,7 +215,7 @@
 		if err != nil {
 			panic(err)
 		}
-		n.handsOver(msgCheckin{report: r}, func(a workerAnswer) {
+		n.handsOver(msgReport{report: r}, func(a workerAnswer) {
 			back := w.Between(200, 2000+w.lag)
 			if w.Chance(0.01) {
 				back = 5 * model.Second // too late for the worker
@@ -243,7 +243,7 @@
 				}
 			})
 			w.After(w.Between(200, 2000), func() {
-				l.handsOver(msgCheckin{report: r, relayed: true}, func(b workerAnswer) {
+				l.handsOver(msgReport{report: r, relayed: true}, func(b workerAnswer) {
 					w.After(w.Between(200, 2000), func() {
 						if answered || n.life != life {
 							return
@@ -261,7 +261,7 @@
 }
 
 // handsOver gives the actor a report; f gets its answer.
-func (n *simNode) handsOver(m msgCheckin, f func(workerAnswer)) {
+func (n *simNode) handsOver(m msgReport, f func(workerAnswer)) {
 	reply := make(chan workerAnswer, 1)
 	m.reply = reply
 	n.ask(m, func() bool {
@@ -524,9 +524,9 @@
 func (n *simNode) flavors() {
 	n.cloudCall(func() any {
 		if n.w.cloud.Down {
-			return msgFlavors{err: cloud.ErrTrouble}
+			return msgMachineTypes{err: cloud.ErrTrouble}
 		}
-		return msgFlavors{builds: n.w.cloud.Flavors}
+		return msgMachineTypes{builds: n.w.cloud.MachineTypes}
 	})
 }
 
@@ -540,7 +540,7 @@
 
 func (n *simNode) rent(m msgRented) {
 	n.cloudCall(func() any {
-		m.hosts, m.err = n.w.cloud.Rent(&m.rental)
+		m.machines, m.err = n.w.cloud.Rent(&m.rental)
 		return m
 	})
 }
@@ -605,7 +605,7 @@
 
 func (w *world) submit(sub *model.Submission, cancelAfter model.Micros) *user {
 	u := &user{w: w, sub: sub, deadline: w.Now + 60*model.Second}
-	w.rules.Subs[sub.Ref], w.rules.Awaits[sub.Ref] = sub.Job(0), sub.Awaits
+	w.rules.Subs[sub.ID], w.rules.Awaits[sub.ID] = sub.Job(0), sub.Awaits
 	if cancelAfter > 0 {
 		u.cancelAt = w.Now + cancelAfter
 	}
@@ -656,12 +656,12 @@
 	asked := u.w.Now
 	u.w.call(nil, 5*model.Second, func(r chan<- userapi.Answer) any {
 		s := *u.sub
-		return msgSubmit{s.Ref, &s, nil, r}
+		return msgSubmit{s.ID, &s, nil, r}
 	}, func(a userapi.Answer) {
 		switch a.Code {
 		case 200, 201:
 			u.accepted = true
-			u.w.rules.Tell(u.sub.Ref, a.Code, a.Body, asked)
+			u.w.rules.Tell(u.sub.ID, a.Code, a.Body, asked)
 			u.look()
 			if u.then != nil {
 				u.then()
@@ -681,12 +681,12 @@
 		u.cancel(nil)
 	}
 	asked := u.w.Now
-	u.w.call(nil, 2*model.Second, func(r chan<- userapi.Answer) any { return msgPoll{u.sub.Ref, r} }, func(a userapi.Answer) {
-		u.w.rules.Tell(u.sub.Ref, a.Code, a.Body, asked)
-		if u.ended == "" && u.w.rules.Ended(u.sub.Ref) != "" {
+	u.w.call(nil, 2*model.Second, func(r chan<- userapi.Answer) any { return msgStatusQuery{u.sub.ID, r} }, func(a userapi.Answer) {
+		u.w.rules.Tell(u.sub.ID, a.Code, a.Body, asked)
+		if u.ended == "" && u.w.rules.Ended(u.sub.ID) != "" {
 			u.look()
 		}
-		if u.ended = u.w.rules.Ended(u.sub.Ref); u.ended == "" || u.w.Chance(0.5) {
+		if u.ended = u.w.rules.Ended(u.sub.ID); u.ended == "" || u.w.Chance(0.5) {
 			u.w.After(3*model.Second, u.poll)
 		}
 	})
@@ -694,8 +694,8 @@
 
 func (u *user) withdraw() {
 	asked := u.w.Now
-	u.w.call(u.via, 5*model.Second, func(r chan<- userapi.Answer) any { return msgWithdraw{u.sub.Ref, r} }, func(a userapi.Answer) {
-		u.w.rules.Tell(u.sub.Ref, a.Code, a.Body, asked)
+	u.w.call(u.via, 5*model.Second, func(r chan<- userapi.Answer) any { return msgCancel{u.sub.ID, r} }, func(a userapi.Answer) {
+		u.w.rules.Tell(u.sub.ID, a.Code, a.Body, asked)
 		if a.Code != 200 {
 			u.w.After(model.Second, u.withdraw)
 			return
@@ -708,7 +708,7 @@
 func (u *user) cancel(via *simNode) {
 	if !u.asked {
 		u.asked, u.via = true, via
-		u.w.rules.Ask(u.sub.Ref)
+		u.w.rules.Ask(u.sub.ID)
 		u.withdraw()
 	}
 }
@@ -721,12 +721,12 @@
 	if !w.closeLooks {
 		return
 	}
-	ref := u.sub.Ref
+	ref := u.sub.ID
 	other := *u.sub
-	other.Owner, other.Pieces = "nobody", other.Pieces+1
+	other.Team, other.Tasks = "nobody", other.Tasks+1
 	for _, n := range w.nodes {
 		for _, msg := range []func(r chan<- userapi.Answer) any{
-			func(r chan<- userapi.Answer) any { return msgPoll{ref, r} },
+			func(r chan<- userapi.Answer) any { return msgStatusQuery{ref, r} },
 			func(r chan<- userapi.Answer) any { same := *u.sub; return msgSubmit{ref, &same, nil, r} },
 			func(r chan<- userapi.Answer) any { return msgSubmit{ref, &other, nil, r} },
 			func(r chan<- userapi.Answer) any { return msgSubmit{ref, nil, errors.New("pieces is missing"), r} },
@@ -761,14 +761,14 @@
 	return nil
 }
 
-func sweepJob(i, pieces int, guess float64) *model.Submission {
-	return &model.Submission{Ref: fmt.Sprintf("j-%06d", i), Class: "c", Owner: "red", Shape: "sweep", Rank: "standard", Pieces: pieces,
-		Cores: 2, MemoryGB: 4, Bundle: "img-1", ImageGB: 1, Loaners: true, GuessS: guess}
+func sweepJob(i, tasks int, guess float64) *model.Submission {
+	return &model.Submission{ID: fmt.Sprintf("j-%06d", i), Class: "c", Team: "red", Kind: "sweep", Priority: "standard", Tasks: tasks,
+		Cores: 2, MemoryGB: 4, Image: "img-1", ImageGB: 1, AllowsSpot: true, EstimateS: guess}
 }
 
-func gangJob(i, pieces int, guess float64) *model.Submission {
-	s := sweepJob(i, pieces, guess)
-	s.Shape, s.Rank, s.Cores, s.Loaners, s.KeepsakeS, s.StowS, s.Owner = "gang", "urgent", 3, false, 5, 1, "blue"
+func gangJob(i, tasks int, guess float64) *model.Submission {
+	s := sweepJob(i, tasks, guess)
+	s.Kind, s.Priority, s.Cores, s.AllowsSpot, s.CheckpointS, s.SaveS, s.Team = "gang", "urgent", 3, false, 5, 1, "blue"
 	return s
 }
 
@@ -778,13 +778,13 @@
 	for _, n := range w.nodes {
 		s += fmt.Sprintf("%s: alive %v, session %d, holds %v, busy %v, syncing %v", n.name, n.alive, n.ctl.session, n.ctl.auth.Holds(n.ctl.clock()), n.ctl.busy, n.ctl.syncing)
 		if l := n.ctl.leading; l != nil {
-			s += fmt.Sprintf(", leads: ready %v, resync %v, queued %d, budget %d", l.ready, l.resync, l.h.Queued(), n.ctl.budget.Left(n.ctl.clock()))
+			s += fmt.Sprintf(", leads: ready %v, resync %v, queued %d, budget %d", l.ready, l.resync, l.block.Queued(), n.ctl.budget.Left(n.ctl.clock()))
 		}
 		s += "\n"
 	}
 	return s
 }
 
-func simReport(host string) *block.Report {
-	return &block.Report{Host: host, Build: "small", Yard: "a", Tenure: 1, Tally: 1}
+func simReport(machine string) *block.Report {
+	return &block.Report{Machine: machine, MachineType: "small", Zone: "a", Session: 1, Sequence: 1}
 }
--- a/internal/node/troubles_test.go
+++ b/internal/node/troubles_test.go
@@ -33,7 +33,7 @@
 		w := newWorld(t, 21)
 		u := w.submit(sweepJob(1, 12, 50), 0)
 		x := w.running(12)
-		w.deaf[x.Ref] = true
+		w.deaf[x.ID] = true
 		if takeover {
 			w.leader().crash()
 		}
@@ -47,7 +47,7 @@
 		}
 		w.submit(sweepJob(2, 30, 5), 0)
 		w.until(80*model.Second, "it is returned", func() bool {
-			h := l.ctl.leading.h.Hosts[x.Ref]
+			h := l.ctl.leading.block.Machines[x.ID]
 			for _, y := range w.cloud.Workers() {
 				if y == x {
 					return false
@@ -68,14 +68,14 @@
 	w.running(16)
 	before := w.cloud.Workers()
 	for _, x := range before {
-		w.deaf[x.Ref] = true
+		w.deaf[x.ID] = true
 	}
 	w.Run(w.Now + 60*model.Second)
 	clear(w.deaf)
 	now := w.cloud.Workers()
 	for _, x := range before {
 		if !slices.Contains(now, x) {
-			t.Errorf("%s was returned", x.Ref)
+			t.Errorf("%s was returned", x.ID)
 		}
 	}
 	w.until(150*model.Second, "it is done", func() bool { return u.ended == "done" })
@@ -105,7 +105,7 @@
 	w.check()
 	for _, u := range us {
 		if u.ended != "done" {
-			t.Errorf("%s: %q", u.sub.Ref, u.ended)
+			t.Errorf("%s: %q", u.sub.ID, u.ended)
 		}
 	}
 	if n := w.cloud.Rented(); n > 3 {
@@ -113,7 +113,7 @@
 	}
 }
 
-// A new holder remembers no tally. All the reports that machines ever sent, told
+// A new holder remembers no sequence number. All the reports that machines ever sent, told
 // to it once more, free no binding, start nothing, and show no machine up.
 func TestNewHolderAndOldCopies(t *testing.T) {
 	w := newWorld(t, 23)
@@ -131,8 +131,8 @@
 	w.until(15*model.Second, "another leads", func() bool { l := w.leader(); return l != nil && l.ctl.leading.ready })
 	l := w.leader().ctl.leading
 	bound := func() (n int) {
-		for _, js := range l.h.Jobs {
-			n += js.BoundCount()
+		for _, js := range l.block.Jobs {
+			n += js.BindingCount()
 		}
 		return n
 	}
@@ -153,9 +153,9 @@
 	if n := w.rules.Starts - starts; n != 0 {
 		t.Errorf("%d starts", n)
 	}
-	for ref, h := range l.h.Hosts {
-		if h.Hears || h.Up {
-			t.Errorf("%s: hears %v, is up %v", ref, h.Hears, h.Up)
+	for ref, h := range l.block.Machines {
+		if h.ReceivesAnswers || h.Up {
+			t.Errorf("%s: hears %v, is up %v", ref, h.ReceivesAnswers, h.Up)
 		}
 	}
 	w.check()
@@ -279,7 +279,7 @@
 func TestQuestionsAreAnsweredUnderOverload(t *testing.T) {
 	w := newWorld(t, 27)
 	w.until(10*model.Second, "a leader that knows the machine types", func() bool {
-		return w.leader() != nil && len(w.nodes[0].ctl.view.Flavors) > 0 && len(w.nodes[1].ctl.view.Flavors) > 0 && len(w.nodes[2].ctl.view.Flavors) > 0
+		return w.leader() != nil && len(w.nodes[0].ctl.view.MachineTypes) > 0 && len(w.nodes[1].ctl.view.MachineTypes) > 0 && len(w.nodes[2].ctl.view.MachineTypes) > 0
 	})
 	first := w.submit(sweepJob(1, 4, 60), 0)
 	cancelled := w.submit(sweepJob(2, 4, 60), 30*model.Second)
@@ -301,11 +301,11 @@
 				reply := make(chan userapi.Answer, 1)
 				asked := w.Now
 				s := sweepJob(next, 1, 1)
-				w.rules.Subs[s.Ref] = s.Job(0)
-				n.ask(msgSubmit{s.Ref, s, nil, reply}, func() bool {
+				w.rules.Subs[s.ID] = s.Job(0)
+				n.ask(msgSubmit{s.ID, s, nil, reply}, func() bool {
 					select {
 					case a := <-reply:
-						w.rules.Tell(s.Ref, a.Code, a.Body, asked)
+						w.rules.Tell(s.ID, a.Code, a.Body, asked)
 						if a.Code == 429 || a.Code == 503 {
 							refused++
 							if a.RetryAfter == 0 {
@@ -337,7 +337,7 @@
 			return
 		}
 		asked++
-		w.call(nil, 2*model.Second, func(r chan<- userapi.Answer) any { return msgPoll{first.sub.Ref, r} }, func(a userapi.Answer) {
+		w.call(nil, 2*model.Second, func(r chan<- userapi.Answer) any { return msgStatusQuery{first.sub.ID, r} }, func(a userapi.Answer) {
 			if a.Code == 200 {
 				answered++
 			}
@@ -383,10 +383,10 @@
 		}
 		for _, n := range w.nodes {
 			reply := make(chan userapi.Answer, 1)
-			n.ask(msgPoll{u.sub.Ref, reply}, nil)
+			n.ask(msgStatusQuery{u.sub.ID, reply}, nil)
 			w.until(3*model.Second, "an answer", func() bool { return len(reply) == 1 })
 			if a := <-reply; a.Code == 404 {
-				t.Errorf("%s is forgotten by %s", u.sub.Ref, n.name)
+				t.Errorf("%s is forgotten by %s", u.sub.ID, n.name)
 			}
 		}
 	}
@@ -422,10 +422,10 @@
 	small()
 	w.Run(60 * model.Second)
 	big := gangJob(1, 6, 20)
-	big.SamePlace, big.Cores = true, 3
+	big.SameZone, big.Cores = true, 3
 	ub := w.submit(big, 0)
 	low := sweepJob(2, 3, 10)
-	low.Rank, low.Cores = "idle", 2
+	low.Priority, low.Cores = "idle", 2
 	ul := w.submit(low, 0)
 	since := w.Now
 	began := map[string]model.Micros{}
@@ -433,8 +433,8 @@
 	for w.Now < since+240*model.Second {
 		w.Run(w.Now + model.Second)
 		if l := w.leader(); l != nil && l.ctl.leading.ready {
-			for _, ref := range []string{big.Ref, low.Ref} {
-				if js := l.ctl.leading.h.Jobs[ref]; js != nil && js.Begun && began[ref] == 0 {
+			for _, ref := range []string{big.ID, low.ID} {
+				if js := l.ctl.leading.block.Jobs[ref]; js != nil && js.HasRun && began[ref] == 0 {
 					began[ref] = w.Now - since
 				}
 			}
@@ -443,7 +443,7 @@
 			before = w.rules.Starts
 		}
 	}
-	if began[big.Ref] == 0 && ub.ended == "" || began[low.Ref] == 0 && ul.ended == "" {
+	if began[big.ID] == 0 && ub.ended == "" || began[low.ID] == 0 && ul.ended == "" {
 		t.Errorf("begun after: %v", began)
 	}
 	if n := w.rules.Starts - before; n < 60 {
@@ -459,12 +459,12 @@
 	w.led(5 * model.Second)
 	l := w.leader()
 	reply := make(chan workerAnswer, 1)
-	l.ask(msgCheckin{report: simReport("host-000999"), reply: reply}, nil)
+	l.ask(msgReport{report: simReport("host-000999"), reply: reply}, nil)
 	a := <-reply
 	if want := string(workerapi.Answer(l.ctl.leading.token, nil)); a.code != 200 || string(a.body) != want {
 		t.Errorf("answered %d %s", a.code, a.body)
 	}
-	if l.ctl.leading.h.Hosts["host-000999"] != nil {
+	if l.ctl.leading.block.Machines["host-000999"] != nil {
 		t.Error("a machine is in the books though its report may be an old copy")
 	}
 }
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -61,12 +61,12 @@
 		Session uint64 `json:"session"`
 	}
 	prodGrant struct {
-		Holder  string                `json:"holder"`
-		Session uint64                `json:"session"`
-		Credit  map[string]model.Need `json:"credit"`
+		Holder  string                     `json:"holder"`
+		Session uint64                     `json:"session"`
+		Credit  map[string]model.Resources `json:"credit"`
 	}
 	prodFlavors struct {
-		Builds []model.Flavor `json:"builds"`
+		Builds []model.MachineType `json:"builds"`
 	}
 )
 
@@ -170,7 +170,7 @@
 	chosen := w.Rng.IntN(4)
 	add := func(s *model.Submission, then func()) *user {
 		cancel := model.Micros(0)
-		if cancelAfter > 0 && s.Ref == sweepJob(first+chosen, 1, 1).Ref {
+		if cancelAfter > 0 && s.ID == sweepJob(first+chosen, 1, 1).ID {
 			cancel = cancelAfter
 		}
 		u := w.submit(s, cancel)
@@ -179,10 +179,10 @@
 		return u
 	}
 	a, b, c, last := sweepJob(first, 1+w.Rng.IntN(6), 4), sweepJob(first+1, 1+w.Rng.IntN(12), 6), gangJob(first+2, 1+w.Rng.IntN(3), 6), sweepJob(first+3, 2, 3)
-	a.Rank, b.Rank, c.Rank, last.Rank = "idle", "idle", "standard", "urgent"
+	a.Priority, b.Priority, c.Priority, last.Priority = "idle", "idle", "standard", "urgent"
 	due := 60.0
-	last.DueS = &due
-	b.Awaits, c.Awaits, last.Awaits = []string{a.Ref}, []string{a.Ref}, []string{b.Ref, c.Ref}
+	last.DeadlineS = &due
+	b.Awaits, c.Awaits, last.Awaits = []string{a.ID}, []string{a.ID}, []string{b.ID, c.ID}
 	add(a, func() {
 		add(b, func() {
 			add(c, func() { add(last, nil) })
@@ -220,11 +220,11 @@
 		}
 	}
 	j := v.Jobs["j-000001"]
-	if !j.Ready() || j.ReadyMs() != 1000 || j.Job().Due != 90*model.Second || j.Job().Rank != model.Urgent {
+	if !j.Ready() || j.ReadyMs() != 1000 || j.Job().Deadline != 90*model.Second || j.Job().Priority != model.HighPriority {
 		t.Errorf("j-000001 is read as %+v", j.Job())
 	}
 	// A job that awaits what production ended counts its times from its own submission.
-	v.Put("job/j-000004", block.JobRecord{Spec: &model.Submission{Ref: "j-000004", Pieces: 1, AtMs: 9000, Awaits: []string{"j-000002"}}}, 30)
+	v.Put("job/j-000004", block.JobRecord{Spec: &model.Submission{ID: "j-000004", Tasks: 1, AcceptedMs: 9000, Awaits: []string{"j-000002"}}}, 30)
 	if j := v.Jobs["j-000004"]; !j.Ready() || j.ReadyMs() != 9000 {
 		t.Errorf("ready %v from %d ms", j.Ready(), j.ReadyMs())
 	}
@@ -457,7 +457,7 @@
 	w.production()
 	w.led(10 * model.Second)
 	long := sweepJob(1, 4, 60)
-	long.Bundle = strings.Repeat("x", 5000)
+	long.Image = strings.Repeat("x", 5000)
 	u := w.submit(long, 0)
 	w.running(4)
 	for _, n := range w.nodes {
@@ -467,9 +467,9 @@
 	}
 	w.state.Fall(2, 5, 18)
 	w.led(20 * model.Second)
-	w.rules.Ask(long.Ref)
+	w.rules.Ask(long.ID)
 	u.withdraw()
-	w.until(10*model.Second, "it is cancelled", func() bool { return w.rules.Ended(long.Ref) == "withdrawn" })
+	w.until(10*model.Second, "it is cancelled", func() bool { return w.rules.Ended(long.ID) == "withdrawn" })
 	w.until(38*model.Second, "nothing of it is left", func() bool { return w.rules.OnMachine() == 0 })
 	if w.state.TooBig > 0 {
 		t.Errorf("%d transactions were too large", w.state.TooBig)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -10,13 +10,13 @@
 
 // Cloud is a stand-in for the cloud, with the machines and their workers.
 type Cloud struct {
-	Flavors  []model.Flavor
-	Capacity map[string]int // build/yard/spot -> machines at once
-	Down     bool
-	Quick    float64 // the chance that a machine is up within two seconds
-	Lag      model.Micros
-	Run      func(*model.Job) model.Micros
-	Times    Times
+	MachineTypes []model.MachineType
+	Capacity     map[string]int // build/yard/spot -> machines at once
+	Down         bool
+	Quick        float64 // the chance that a machine is up within two seconds
+	Lag          model.Micros
+	Run          func(*model.Job) model.Micros
+	Times        Times
 
 	sim      *Sim
 	net      Net
@@ -37,19 +37,21 @@
 }
 
 // NewCloud makes a cloud without machines.
-func NewCloud(sim *Sim, net Net, rules *Rules, flavors []model.Flavor, t Times) *Cloud {
-	return &Cloud{Flavors: flavors, Capacity: map[string]int{}, Lag: 3 * model.Second, Times: t, sim: sim, net: net, rules: rules,
-		gangs: map[gangKey]map[*Task]bool{}, hires: map[string][]string{}, Run: func(j *model.Job) model.Micros { return j.Guess }}
+func NewCloud(sim *Sim, net Net, rules *Rules, machineTypes []model.MachineType, t Times) *Cloud {
+	return &Cloud{MachineTypes: machineTypes, Capacity: map[string]int{}, Lag: 3 * model.Second, Times: t, sim: sim, net: net, rules: rules,
+		gangs: map[gangKey]map[*Task]bool{}, hires: map[string][]string{}, Run: func(j *model.Job) model.Micros { return j.EstimatedRun }}
 }
 
-func offer(build, yard string, spot bool) string { return fmt.Sprintf("%s/%s/%v", build, yard, spot) }
+func offer(machineType, zone string, spot bool) string {
+	return fmt.Sprintf("%s/%s/%v", machineType, zone, spot)
+}
 
 // Rent is POST /rentals.
 func (c *Cloud) Rent(r *cloud.Rental) ([]string, error) {
 	if c.Down {
 		return nil, cloud.ErrTrouble
 	}
-	if old, ok := c.hires[r.Hire]; ok {
+	if old, ok := c.hires[r.RequestID]; ok {
 		return old, nil
 	}
 	if r.Count < 1 || r.Count > 50 {
@@ -57,25 +59,25 @@
 	}
 	used := 0
 	for _, m := range c.machines {
-		if !m.gone && m.w.Build == r.Build && m.w.Yard == r.Yard && m.w.Spot == r.Loaners {
+		if !m.gone && m.w.MachineType == r.MachineType && m.w.Zone == r.Zone && m.w.Spot == r.Spot {
 			used++
 		}
 	}
-	n := min(r.Count, c.Capacity[offer(r.Build, r.Yard, r.Loaners)]-used)
+	n := min(r.Count, c.Capacity[offer(r.MachineType, r.Zone, r.Spot)]-used)
 	if n <= 0 {
 		return nil, cloud.ErrNoCapacity
 	}
-	var f *model.Flavor
-	for i := range c.Flavors {
-		if c.Flavors[i].Label == r.Build {
-			f = &c.Flavors[i]
+	var f *model.MachineType
+	for i := range c.MachineTypes {
+		if c.MachineTypes[i].Name == r.MachineType {
+			f = &c.MachineTypes[i]
 		}
 	}
 	var refs []string
 	for range n {
 		ref := fmt.Sprintf("host-%06d", c.next)
 		c.next++
-		m := &machine{rented: c.sim.Now, w: &Worker{Ref: ref, Build: r.Build, Yard: r.Yard, Spot: r.Loaners, Size: f.Size(),
+		m := &machine{rented: c.sim.Now, w: &Worker{ID: ref, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Size: f.Size(),
 			sim: c.sim, net: c.net, rules: c.rules, gangs: c.gangs, run: c.Run, t: c.Times}}
 		c.machines = append(c.machines, m)
 		refs = append(refs, ref)
@@ -94,7 +96,7 @@
 			}
 		})
 	}
-	c.hires[r.Hire] = refs
+	c.hires[r.RequestID] = refs
 	return refs, nil
 }
 
@@ -108,7 +110,7 @@
 		named[ref] = true
 	}
 	for _, m := range c.machines {
-		if named[m.w.Ref] && !m.gone {
+		if named[m.w.ID] && !m.gone {
 			m.w.Die()
 			m.gone, m.goneAt = true, c.sim.Now
 		}
@@ -131,7 +133,7 @@
 		if m.up >= 0 && m.up <= at {
 			st = "running"
 		}
-		out = append(out, cloud.Machine{Ref: m.w.Ref, Build: m.w.Build, Yard: m.w.Yard, Loaners: m.w.Spot, Status: st,
+		out = append(out, cloud.Machine{ID: m.w.ID, MachineType: m.w.MachineType, Zone: m.w.Zone, Spot: m.w.Spot, Status: st,
 			HeldS: (at - m.rented).Seconds()})
 	}
 	return out, nil
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -16,9 +16,9 @@
 	Broken []string
 
 	Subs      map[string]*model.Job // every job that a user submitted
-	on        map[model.PieceID]map[*Task]bool
-	used      map[string]model.Need
-	completed map[model.PieceID]bool
+	on        map[model.TaskID]map[*Task]bool
+	used      map[string]model.Resources
+	completed map[model.TaskID]bool
 	cancelled map[string]model.Micros // when a user asked
 	told      map[string]string       // the end that was told
 	toldAt    map[string]model.Micros
@@ -37,8 +37,8 @@
 
 // NewRules makes a watch.
 func NewRules(sim *Sim, teams map[string]*model.Team, cancel model.Micros) *Rules {
-	return &Rules{sim: sim, Teams: teams, Cancel: cancel, Subs: map[string]*model.Job{}, on: map[model.PieceID]map[*Task]bool{},
-		used: map[string]model.Need{}, completed: map[model.PieceID]bool{}, cancelled: map[string]model.Micros{},
+	return &Rules{sim: sim, Teams: teams, Cancel: cancel, Subs: map[string]*model.Job{}, on: map[model.TaskID]map[*Task]bool{},
+		used: map[string]model.Resources{}, completed: map[model.TaskID]bool{}, cancelled: map[string]model.Micros{},
 		told: map[string]string{}, toldAt: map[string]model.Micros{}, Accepted: map[string]bool{}, Awaits: map[string][]string{}, answered: map[string]model.Micros{}, idleFrom: map[string]model.Micros{}}
 }
 
@@ -55,44 +55,44 @@
 	r.Starts++
 	j := t.job
 	if len(r.on[t.id]) > 0 {
-		r.broken("ran_twice: %s on %s", t.id, t.w.Ref)
+		r.broken("ran_twice: %s on %s", t.id, t.w.ID)
 	}
-	if !j.Allows(t.w.Build, t.w.Yard, t.w.Spot) {
-		r.broken("wrong_place: %s on %s", t.id, t.w.Ref)
+	if !j.Allows(t.w.MachineType, t.w.Zone, t.w.Spot) {
+		r.broken("wrong_place: %s on %s", t.id, t.w.ID)
 	}
-	for _, a := range r.Awaits[j.Ref] {
+	for _, a := range r.Awaits[j.ID] {
 		if !r.complete(a) {
 			r.broken("too_early: %s starts before %s is done", t.id, a)
 		}
 	}
-	inYard, elsewhere := 0, 0
-	for n := range j.Pieces {
-		if !j.SamePlace && !j.Apart {
+	inZone, elsewhere := 0, 0
+	for n := range j.Tasks {
+		if !j.SameZone && !j.Spread {
 			break
 		}
-		for o := range r.on[model.PieceID{Job: j.Ref, N: n}] {
-			if o.w.Yard == t.w.Yard {
-				inYard++
+		for o := range r.on[model.TaskID{Job: j.ID, Index: n}] {
+			if o.w.Zone == t.w.Zone {
+				inZone++
 			} else {
 				elsewhere++
 			}
 		}
 	}
-	if j.SamePlace && elsewhere > 0 || inYard+1 > j.PerYard() {
-		r.broken("wrong_place: %s in %s: %d there, %d elsewhere", t.id, t.w.Yard, inYard, elsewhere)
+	if j.SameZone && elsewhere > 0 || inZone+1 > j.MaxPerZone() {
+		r.broken("wrong_place: %s in %s: %d there, %d elsewhere", t.id, t.w.Zone, inZone, elsewhere)
 	}
 	if r.on[t.id] == nil {
 		r.on[t.id] = map[*Task]bool{}
 	}
 	r.on[t.id][t] = true
-	r.used[j.Owner] = r.used[j.Owner].Plus(j.Need)
-	if !r.Teams[j.Owner].Within(r.used[j.Owner]) {
-		r.broken("quota: %s uses %v", j.Owner, r.used[j.Owner])
+	r.used[j.Team] = r.used[j.Team].Plus(j.Request)
+	if !r.Teams[j.Team].Within(r.used[j.Team]) {
+		r.broken("quota: %s uses %v", j.Team, r.used[j.Team])
 	}
-	if r.told[j.Ref] == "withdrawn" {
+	if r.told[j.ID] == "withdrawn" {
 		r.CancelledStarts++
 	}
-	if r.overdue(j.Ref) {
+	if r.overdue(j.ID) {
 		r.broken("ran_cancelled: %s starts", t.id)
 	}
 }
@@ -111,13 +111,13 @@
 			continue
 		}
 		for t := range ts {
-			r.broken("ran_cancelled: %s is on %s", id, t.w.Ref)
+			r.broken("ran_cancelled: %s is on %s", id, t.w.ID)
 		}
 	}
 }
 
 // finish notes that a task has completed.
-func (r *Rules) finish(id model.PieceID) {
+func (r *Rules) finish(id model.TaskID) {
 	r.completed[id] = true
 	if r.Finished != nil && r.complete(id.Job) {
 		r.Finished(id.Job)
@@ -126,8 +126,8 @@
 
 // complete tells whether all of a job's tasks are done.
 func (r *Rules) complete(ref string) bool {
-	for n := range r.Subs[ref].Pieces {
-		if !r.completed[model.PieceID{Job: ref, N: n}] {
+	for n := range r.Subs[ref].Tasks {
+		if !r.completed[model.TaskID{Job: ref, Index: n}] {
 			return false
 		}
 	}
@@ -152,9 +152,9 @@
 		return
 	}
 	delete(r.on[t.id], t)
-	r.used[t.job.Owner] = r.used[t.job.Owner].Minus(t.job.Need)
-	if r.overdue(t.job.Ref) {
-		r.broken("ran_cancelled: %s was on %s for %.1f s", t.id, t.w.Ref, (r.sim.Now - r.toldAt[t.job.Ref]).Seconds())
+	r.used[t.job.Team] = r.used[t.job.Team].Minus(t.job.Request)
+	if r.overdue(t.job.ID) {
+		r.broken("ran_cancelled: %s was on %s for %.1f s", t.id, t.w.ID, (r.sim.Now - r.toldAt[t.job.ID]).Seconds())
 	}
 }
 
@@ -238,7 +238,7 @@
 func (r *Rules) ToldAt(ref string) model.Micros { return r.toldAt[ref] }
 
 // Used is what a team's tasks take of machines.
-func (r *Rules) Used(team string) model.Need { return r.used[team] }
+func (r *Rules) Used(team string) model.Resources { return r.used[team] }
 
 // waitsMost is how long a job may wait, with all troubles over, while a machine that
 // fits has room and its team is under its limit.
@@ -278,30 +278,30 @@
 // fits tells whether a job could begin: one task of it, or all of a gang.
 func (r *Rules) fits(j *model.Job, ws []*Worker) bool {
 	want := 1
-	if j.Shape == model.Gang {
-		want = j.Pieces
+	if j.Kind == model.Gang {
+		want = j.Tasks
 	}
-	left := r.Teams[j.Owner].Max.Minus(r.used[j.Owner])
-	need := j.Need
+	left := r.Teams[j.Team].Limit.Minus(r.used[j.Team])
+	need := j.Request
 	need.Mem = 0
 	if need.Count(left, want) < want {
 		return false
 	}
-	inYard := map[string]int{}
+	inZone := map[string]int{}
 	for _, w := range ws {
-		if !w.hung && !w.Sick && w.recall == 0 && j.Allows(w.Build, w.Yard, w.Spot) {
-			inYard[w.Yard] += j.Need.Count(w.Size.Minus(w.used()), want)
+		if !w.hung && !w.Sick && w.recall == 0 && j.Allows(w.MachineType, w.Zone, w.Spot) {
+			inZone[w.Zone] += j.Request.Count(w.Size.Minus(w.used()), want)
 		}
 	}
 	sum := 0
-	for _, n := range inYard {
-		n = min(n, j.PerYard())
-		if j.SamePlace && n >= want {
+	for _, n := range inZone {
+		n = min(n, j.MaxPerZone())
+		if j.SameZone && n >= want {
 			return true
 		}
 		sum += n
 	}
-	return !j.SamePlace && sum >= want
+	return !j.SameZone && sum >= want
 }
 
 // Tell notes an answer with its body, to a request that was made at that time.
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,24 +20,24 @@
 
 // Worker is a stand-in for a machine's worker.
 type Worker struct {
-	Ref, Build, Yard string
-	Spot             bool
-	Size             model.Need
-	Sick             bool
-
-	sim    *Sim
-	net    Net
-	rules  *Rules
-	gangs  map[gangKey]map[*Task]bool
-	run    func(*model.Job) model.Micros
-	t      Times
-	dead   bool
-	hung   bool
-	tenure uint64
-	tally  uint64
-	token  uint64
-	tasks  []*Task
-	images map[string]bool
+	ID, MachineType, Zone string
+	Spot                  bool
+	Size                  model.Resources
+	Sick                  bool
+
+	sim      *Sim
+	net      Net
+	rules    *Rules
+	gangs    map[gangKey]map[*Task]bool
+	run      func(*model.Job) model.Micros
+	t        Times
+	dead     bool
+	hung     bool
+	session  uint64
+	sequence uint64
+	token    uint64
+	tasks    []*Task
+	images   map[string]bool
 
 	node     int
 	leased   model.Micros // when the last answered report was sent
@@ -55,7 +55,7 @@
 
 // Task is an attempt on a machine.
 type Task struct {
-	id     model.PieceID
+	id     model.TaskID
 	try    uint64
 	job    *model.Job
 	w      *Worker
@@ -66,7 +66,7 @@
 }
 
 func (w *Worker) begin() {
-	w.tenure, w.leased = 1, w.sim.Now
+	w.session, w.leased = 1, w.sim.Now
 	w.images = map[string]bool{}
 	w.node = w.sim.Rng.IntN(len(w.net.Nodes()))
 	w.plan(w.sim.Between(0, model.Second))
@@ -111,7 +111,7 @@
 		w.plan(200 * model.Millisecond)
 		return
 	}
-	w.tally++
+	w.sequence++
 	type piece struct {
 		Piece  string `json:"piece"`
 		Try    uint64 `json:"try"`
@@ -123,8 +123,8 @@
 	for _, t := range w.tasks {
 		ps = append(ps, piece{t.id.String(), t.try, t.status, t.cause, t.stored})
 	}
-	msg := map[string]any{"host": w.Ref, "address": "10.1.0.1:9000", "build": w.Build, "yard": w.Yard, "loaners": w.Spot,
-		"tenure": w.tenure, "tally": w.tally, "warrant": w.token, "pieces": ps, "recallS": nil}
+	msg := map[string]any{"host": w.ID, "address": "10.1.0.1:9000", "build": w.MachineType, "yard": w.Zone, "loaners": w.Spot,
+		"tenure": w.session, "tally": w.sequence, "warrant": w.token, "pieces": ps, "recallS": nil}
 	if w.recall > 0 {
 		msg["recallS"] = max(0, w.recall-w.sim.Now).Seconds()
 	}
@@ -133,7 +133,7 @@
 		panic(err)
 	}
 	w.inFlight, w.lastSent = true, w.sim.Now
-	sent, tenure, answered := w.sim.Now, w.tenure, false
+	sent, session, answered := w.sim.Now, w.session, false
 	nodes := w.net.Nodes()
 	done := func(code int, body []byte) {
 		if answered {
@@ -141,14 +141,14 @@
 		}
 		answered, w.inFlight = true, false
 		if !w.dead {
-			w.answer(code, body, sent, tenure)
+			w.answer(code, body, sent, session)
 		}
 	}
 	w.sim.After(4*model.Second, func() { done(0, nil) })
 	w.net.Checkin(w, nodes[w.node%len(nodes)], body, done)
 }
 
-func (w *Worker) answer(code int, body []byte, sent model.Micros, tenure uint64) {
+func (w *Worker) answer(code int, body []byte, sent model.Micros, session uint64) {
 	var a struct {
 		Warrant uint64 `json:"warrant"`
 		Steward string `json:"steward"`
@@ -176,7 +176,7 @@
 		return
 	}
 	w.plan(w.t.Report*3/4 + w.sim.Between(0, w.t.Report/2))
-	if w.hung || a.Warrant < w.token || tenure != w.tenure {
+	if w.hung || a.Warrant < w.token || session != w.session {
 		return
 	}
 	w.leased = max(w.leased, sent)
@@ -185,7 +185,7 @@
 		w.changed()
 	}
 	for _, o := range a.Orders {
-		id, ok := model.ParsePiece(o.Piece)
+		id, ok := model.ParseTaskID(o.Piece)
 		if !ok {
 			panic("bad piece " + o.Piece)
 		}
@@ -206,29 +206,29 @@
 	}
 }
 
-func (w *Worker) find(id model.PieceID, try uint64) *Task {
+func (w *Worker) find(id model.TaskID, attempt uint64) *Task {
 	for _, t := range w.tasks {
-		if t.id == id && t.try == try {
+		if t.id == id && t.try == attempt {
 			return t
 		}
 	}
 	return nil
 }
 
-func (w *Worker) start(id model.PieceID, try uint64) {
-	if w.find(id, try) != nil {
+func (w *Worker) start(id model.TaskID, attempt uint64) {
+	if w.find(id, attempt) != nil {
 		return
 	}
-	t := &Task{id: id, try: try, job: w.rules.Subs[id.Job], w: w, status: "pulling"}
+	t := &Task{id: id, try: attempt, job: w.rules.Subs[id.Job], w: w, status: "pulling"}
 	used := w.used()
 	busy := slices.ContainsFunc(w.tasks, func(o *Task) bool { return o.status != "ended" && o.id == id })
 	w.tasks = append(w.tasks, t)
 	switch {
-	case t.job == nil || id.N >= t.job.Pieces:
+	case t.job == nil || id.Index >= t.job.Tasks:
 		t.exit("unknown")
 	case busy:
 		t.exit("in_use")
-	case !used.Plus(t.job.Need).Fits(w.Size):
+	case !used.Plus(t.job.Request).Fits(w.Size):
 		t.exit("full")
 	default:
 		d := model.Micros(0)
@@ -269,15 +269,15 @@
 		t.exit("done")
 	case w.Sick:
 		t.exit("error")
-	case t.job.Shape == model.Gang:
+	case t.job.Kind == model.Gang:
 		t.status = "gathering"
-		k := gangKey{t.job.Ref, t.try}
+		k := gangKey{t.job.ID, t.try}
 		if w.gangs[k] == nil {
 			w.gangs[k] = map[*Task]bool{}
 		}
 		w.gangs[k][t] = true
 		t.after(w.t.GangWait, func() { t.exit("alone") })
-		if len(w.gangs[k]) == t.job.Pieces {
+		if len(w.gangs[k]) == t.job.Tasks {
 			run := w.run(t.job)
 			for m := range w.gangs[k] {
 				m.status = "running"
@@ -287,14 +287,14 @@
 			for m := range w.gangs[k] {
 				order = append(order, m)
 			}
-			slices.SortFunc(order, func(a, b *Task) int { return a.id.N - b.id.N })
+			slices.SortFunc(order, func(a, b *Task) int { return a.id.Index - b.id.Index })
 			for _, m := range order {
 				m.after(run, func() { m.gangDone(k) })
 			}
 		}
 	default:
 		t.status = "running"
-		if t.job.Shape == model.Sweep {
+		if t.job.Kind == model.Array {
 			t.after(w.run(t.job), func() {
 				w.rules.finish(t.id)
 				t.exit("done")
@@ -304,18 +304,18 @@
 }
 
 func (t *Task) gangDone(k gangKey) {
-	if len(t.w.gangs[k]) < t.job.Pieces {
+	if len(t.w.gangs[k]) < t.job.Tasks {
 		t.exit("mates_gone")
 		return
 	}
-	members := make([]*Task, 0, t.job.Pieces)
+	members := make([]*Task, 0, t.job.Tasks)
 	for m := range t.w.gangs[k] {
 		members = append(members, m)
 	}
 	for _, m := range members {
 		t.w.rules.finish(m.id)
 	}
-	slices.SortFunc(members, func(a, b *Task) int { return a.id.N - b.id.N })
+	slices.SortFunc(members, func(a, b *Task) int { return a.id.Index - b.id.Index })
 	for _, m := range members {
 		m.exit("done")
 	}
@@ -324,9 +324,9 @@
 func (t *Task) stop(leeway model.Micros) {
 	switch {
 	case t.status == "ended":
-	case t.status == "running" && t.job.Keepsake > 0 && leeway >= t.job.Stow:
+	case t.status == "running" && t.job.CheckpointInterval > 0 && leeway >= t.job.SaveTime:
 		t.status = "saving"
-		t.after(t.job.Stow, func() { t.stored = true; t.exit("stopped") })
+		t.after(t.job.SaveTime, func() { t.stored = true; t.exit("stopped") })
 		t.w.changed()
 	case t.status == "saving" && leeway > 0:
 	default:
@@ -350,10 +350,10 @@
 }
 
 func (t *Task) leaveGang(done bool) {
-	if t.job == nil || t.job.Shape != model.Gang || t.status == "ended" {
+	if t.job == nil || t.job.Kind != model.Gang || t.status == "ended" {
 		return
 	}
-	k := gangKey{t.job.Ref, t.try}
+	k := gangKey{t.job.ID, t.try}
 	if !t.w.gangs[k][t] {
 		return
 	}
@@ -388,16 +388,16 @@
 		t.vanish()
 	}
 	w.tasks = nil
-	w.tenure++
+	w.session++
 	w.leased = w.sim.Now
 	w.changed()
 }
 
 // used is what the tasks on the machine take, fetching ones included.
-func (w *Worker) used() (n model.Need) {
+func (w *Worker) used() (n model.Resources) {
 	for _, t := range w.tasks {
 		if t.status != "ended" {
-			n = n.Plus(t.job.Need)
+			n = n.Plus(t.job.Request)
 		}
 	}
 	return n
@@ -431,5 +431,5 @@
 	for _, t := range w.tasks {
 		b.WriteString(t.id.String() + "=" + t.status + " ")
 	}
-	return w.Ref + ": " + b.String()
+	return w.ID + ": " + b.String()
 }
--- a/internal/state/bench_test.go
+++ b/internal/state/bench_test.go
@@ -13,18 +13,18 @@
 func BenchmarkView(b *testing.B) {
 	v := NewView()
 	for i := range 2000 {
-		v.Put(fmt.Sprintf("job/j-%06d", i), block.JobRecord{Spec: &model.Submission{Ref: fmt.Sprintf("j-%06d", i), Pieces: 10}}, uint64(i+1))
+		v.Put(fmt.Sprintf("job/j-%06d", i), block.JobRecord{Spec: &model.Submission{ID: fmt.Sprintf("j-%06d", i), Tasks: 10}}, uint64(i+1))
 	}
 	bundle := func(from int) json.RawMessage {
-		r := block.BundleRecord{Hosts: map[string]*block.HostRecord{}}
+		r := block.BundleRecord{Machines: map[string]*block.MachineRecord{}}
 		for i := range 40 {
 			n := (from + i*13) % 1900
-			pieces := map[string][][2]uint64{}
+			tasks := map[string][][2]uint64{}
 			for k := range uint64(6) {
 				job := fmt.Sprintf("j-%06d", (n+int(k)*7)%2000)
-				pieces[job] = append(pieces[job], [2]uint64{k, 5<<20 + uint64(n)})
+				tasks[job] = append(tasks[job], [2]uint64{k, 5<<20 + uint64(n)})
 			}
-			r.Hosts[fmt.Sprintf("host-%06d", n)] = &block.HostRecord{Build: "box", Yard: "a", Pieces: pieces}
+			r.Machines[fmt.Sprintf("host-%06d", n)] = &block.MachineRecord{MachineType: "box", Zone: "a", Tasks: tasks}
 		}
 		raw, err := json.Marshal(r)
 		if err != nil {
--- a/internal/state/pipeline.go
+++ b/internal/state/pipeline.go
@@ -21,7 +21,7 @@
 	endMs   int64    // time of day of its end, 0: not recorded
 	readyMs int64    // time of day when the last job it needs was done
 	readyNo uint64   // stamp of that
-	rank    model.Rank
+	rank    model.Priority
 	dueMs   int64 // time of day when it is due, 0: never
 }
 
@@ -29,7 +29,7 @@
 func (j *JobView) Ready() bool { return j.waits == 0 && !j.fallen }
 
 // ReadyMs is the time of day from which its times count, other than its deadline.
-func (j *JobView) ReadyMs() int64 { return max(j.Sub.AtMs, j.readyMs) }
+func (j *JobView) ReadyMs() int64 { return max(j.Submission.AcceptedMs, j.readyMs) }
 
 // Order is its age among other jobs: its acceptance, or the end of the last job
 // that it needs.
@@ -39,14 +39,14 @@
 // that need it, with what is left until it is due, counted from when it could
 // begin, and due early enough for what has to run after it.
 func (j *JobView) Job() *model.Job {
-	job := j.Sub.Job(j.Order())
-	job.Rank, job.Due = j.Standing()
+	job := j.Submission.Job(j.Order())
+	job.Priority, job.Deadline = j.Standing()
 	return job
 }
 
 // Standing is a job's rank and deadline, counted from ReadyMs, as they follow from
 // the jobs that need it.
-func (j *JobView) Standing() (model.Rank, model.Micros) {
+func (j *JobView) Standing() (model.Priority, model.Micros) {
 	if j.dueMs == 0 {
 		return j.rank, 0
 	}
@@ -64,12 +64,12 @@
 // link books what a job waits for, once its submission is known. The jobs that
 // await it may have become known earlier.
 func (v *View) link(ref string, j *JobView) {
-	sub := j.Sub.Job(0)
-	j.rank = max(j.rank, sub.Rank)
-	if sub.Due > 0 {
-		j.sooner(j.Sub.AtMs + int64(sub.Due/model.Millisecond))
+	sub := j.Submission.Job(0)
+	j.rank = max(j.rank, sub.Priority)
+	if sub.Deadline > 0 {
+		j.sooner(j.Submission.AcceptedMs + int64(sub.Deadline/model.Millisecond))
 	}
-	for _, a := range j.Sub.Awaits {
+	for _, a := range j.Submission.Awaits {
 		b := v.job(a)
 		switch {
 		case b.End == Done:
@@ -137,11 +137,11 @@
 	for work := []string{ref}; len(work) > 0; {
 		j := v.Jobs[work[0]]
 		work = work[1:]
-		if j.Sub == nil || j.End != "" {
+		if j.Submission == nil || j.End != "" {
 			continue
 		}
-		run := int64(j.Sub.GuessS * 1000)
-		for _, a := range j.Sub.Awaits {
+		run := int64(j.Submission.EstimateS * 1000)
+		for _, a := range j.Submission.Awaits {
 			b := v.Jobs[a]
 			if b.End != "" {
 				continue
@@ -153,7 +153,7 @@
 			}
 			if changed {
 				work = append(work, a)
-				if b.Sub != nil && b.waits == 0 {
+				if b.Submission != nil && b.waits == 0 {
 					v.news = append(v.news, a)
 				}
 			}
--- a/internal/state/pipeline_test.go
+++ b/internal/state/pipeline_test.go
@@ -15,7 +15,7 @@
 }
 
 func spec(ref string, awaits ...string) put {
-	return put{ref, block.JobRecord{Spec: &model.Submission{Ref: ref, Pieces: 1, Rank: "idle", GuessS: 10, AtMs: 1000, Awaits: awaits}}}
+	return put{ref, block.JobRecord{Spec: &model.Submission{ID: ref, Tasks: 1, Priority: "idle", EstimateS: 10, AcceptedMs: 1000, Awaits: awaits}}}
 }
 
 func (v *View) puts(ps ...put) {
@@ -25,7 +25,7 @@
 }
 
 func done(ref string, atMs int64) put {
-	return put{ref, block.JobRecord{End: Done, Pieces: 1, AtMs: atMs}}
+	return put{ref, block.JobRecord{End: Done, Tasks: 1, AtMs: atMs}}
 }
 
 func withdrawn(p put) put {
@@ -73,10 +73,10 @@
 func TestStandingFollowsFromWhatComesAfter(t *testing.T) {
 	due := 100.0
 	last := spec("j-c", "j-b")
-	last.rec.Spec.Rank, last.rec.Spec.DueS = "urgent", &due // due at 101,000 ms
+	last.rec.Spec.Priority, last.rec.Spec.DeadlineS = "urgent", &due // due at 101,000 ms
 	v := NewView()
 	v.puts(spec("j-a"), spec("j-b", "j-a"))
-	if rank, due := v.Jobs["j-a"].Standing(); rank != model.Idle || due != 0 {
+	if rank, due := v.Jobs["j-a"].Standing(); rank != model.LowPriority || due != 0 {
 		t.Errorf("alone: rank %d, due in %d", rank, due)
 	}
 	v.TakeNews()
@@ -84,19 +84,19 @@
 	if news := v.TakeNews(); len(news) != 1 || news[0] != "j-a" {
 		t.Errorf("news of %v, want j-a, which may begin", news)
 	}
-	if rank, due := v.Jobs["j-a"].Standing(); rank != model.Urgent || due != 80*model.Second {
+	if rank, due := v.Jobs["j-a"].Standing(); rank != model.HighPriority || due != 80*model.Second {
 		t.Errorf("first: rank %d, due in %.1f s", rank, due.Seconds())
 	}
 	v.puts(done("j-a", 31_000))
 	if news := v.TakeNews(); len(news) != 1 || news[0] != "j-b" {
 		t.Errorf("news of %v, want j-b, which may begin now", news)
 	}
-	if j := v.Jobs["j-b"]; j.ReadyMs() != 31_000 || j.Job().Due != 60*model.Second || j.Job().Rank != model.Urgent {
+	if j := v.Jobs["j-b"]; j.ReadyMs() != 31_000 || j.Job().Deadline != 60*model.Second || j.Job().Priority != model.HighPriority {
 		t.Errorf("second: from %d ms, %+v", j.ReadyMs(), j.Job())
 	}
 	v.puts(done("j-b", 200_000))
-	if j := v.Jobs["j-c"]; !j.Ready() || j.Job().Due != 1 {
-		t.Errorf("last: ready %v, due in %d, which is over", j.Ready(), j.Job().Due)
+	if j := v.Jobs["j-c"]; !j.Ready() || j.Job().Deadline != 1 {
+		t.Errorf("last: ready %v, due in %d, which is over", j.Ready(), j.Job().Deadline)
 	}
 }
 
@@ -140,12 +140,12 @@
 // An entry that one transaction wrote into two bundles still stands in one of them
 // when the other drops it.
 func TestTwinEntries(t *testing.T) {
-	host := map[string]*block.HostRecord{"h1": {Pieces: map[string][][2]uint64{"j-1": {{0, 5}}}}}
+	machine := map[string]*block.MachineRecord{"h1": {Tasks: map[string][][2]uint64{"j-1": {{0, 5}}}}}
 	for dropped := range 2 {
 		v := NewView()
 		v.Put("job/j-1", spec("j-1").rec, 1)
-		v.Put(BundleKey("b0", 0), block.BundleRecord{Hosts: host}, 7)
-		v.Put(BundleKey("b0", 1), block.BundleRecord{Hosts: host}, 7)
+		v.Put(BundleKey("b0", 0), block.BundleRecord{Machines: machine}, 7)
+		v.Put(BundleKey("b0", 1), block.BundleRecord{Machines: machine}, 7)
 		v.Put(BundleKey("b0", dropped), block.BundleRecord{}, 8)
 		if status, _, n, _ := v.Status("j-1"); status != "running" || n != 1 {
 			t.Errorf("bundle %d dropped it: %s, %d running", dropped, status, n)
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -15,8 +15,8 @@
 // An older event never replaces what a newer one, or our own commit, has set.
 func TestViewKeepsTheNewest(t *testing.T) {
 	v := NewView()
-	v.Put("job/j-1", block.JobRecord{Spec: &model.Submission{Ref: "j-1", Pieces: 3}}, 10)
-	v.Put("job/j-1", block.JobRecord{End: "done", Pieces: 3}, 20)
+	v.Put("job/j-1", block.JobRecord{Spec: &model.Submission{ID: "j-1", Tasks: 3}}, 10)
+	v.Put("job/j-1", block.JobRecord{End: "done", Tasks: 3}, 20)
 	if set, err := v.Set("job/j-1", json.RawMessage(`{"end":"withdrawn"}`), 15); set || err != nil {
 		t.Errorf("an older event is applied: %v, %v", set, err)
 	}
@@ -44,8 +44,8 @@
 				t.Fatal(err)
 			}
 		}
-		v.Put("job/j-1", block.JobRecord{Spec: &model.Submission{Ref: "j-1", Pieces: 3}}, 2)
-		v.Put("job/j-2", block.JobRecord{Spec: &model.Submission{Ref: "j-2", Pieces: 1}}, 2)
+		v.Put("job/j-1", block.JobRecord{Spec: &model.Submission{ID: "j-1", Tasks: 3}}, 2)
+		v.Put("job/j-2", block.JobRecord{Spec: &model.Submission{ID: "j-2", Tasks: 1}}, 2)
 		if status, done, running, _ := v.Status("j-1"); status != "running" || running != 2 || done != 1 {
 			t.Errorf("%v: %s with %d running, %d done", order, status, running, done)
 		}
@@ -60,7 +60,7 @@
 			t.Errorf("%v: an older copy took the newer one with it: %d running, %d done", order, running, done)
 		}
 		// A machine that is gone, while an older version of it stands elsewhere.
-		v.Put(BundleKey("b0", 2), block.BundleRecord{Hosts: map[string]*block.HostRecord{"h1": nil}}, 10)
+		v.Put(BundleKey("b0", 2), block.BundleRecord{Machines: map[string]*block.MachineRecord{"h1": nil}}, 10)
 		if status, _, _, _ := v.Status("j-1"); status != "pending" {
 			t.Errorf("%v: %s on a machine that is gone", order, status)
 		}
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -33,22 +33,22 @@
 
 // GrantRecord is a block's grant.
 type GrantRecord struct {
-	Holder  string                `json:"holder"`
-	Session uint64                `json:"session"`
-	Credit  map[string]model.Need `json:"credit"`
+	Holder  string                     `json:"holder"`
+	Session uint64                     `json:"session"`
+	Credit  map[string]model.Resources `json:"credit"`
 }
 
-// FlavorsRecord keeps the machine types that were last seen.
-type FlavorsRecord struct {
-	Builds []model.Flavor `json:"builds"`
+// MachineTypesRecord keeps the machine types that were last seen.
+type MachineTypesRecord struct {
+	MachineTypes []model.MachineType `json:"builds"`
 }
 
 // JobView is what the view knows of a job.
 type JobView struct {
-	Sub       *model.Submission // nil once it is done
-	Stamp     uint64            // of its acceptance
-	End       string            // as it is written; see Final
-	EndPieces int
+	Submission *model.Submission // nil once it is done
+	Stamp      uint64            // of its acceptance
+	End        string            // as it is written; see Final
+	EndTasks   int
 	pipeline
 }
 
@@ -61,9 +61,9 @@
 // entryView is the latest version of a bundle's entry: the record of a machine,
 // nil if it is gone, or the finished tasks of a job.
 type entryView struct {
-	host *block.HostRecord
-	done []byte
-	at   string // the bundle that it is from
+	machine *block.MachineRecord
+	done    []byte
+	at      string // the bundle that it is from
 	// twin is another bundle with the same version, written in the same
 	// transaction: if one drops it, it still stands in the other.
 	twin string
@@ -71,19 +71,19 @@
 
 // View is a copy of the state as of Epoch, or newer for single keys.
 type View struct {
-	Epoch   uint64
-	Stamps  map[string]uint64
-	Jobs    map[string]*JobView
-	Leader  *LeaderRecord
-	Grants  map[string]*GrantRecord
-	Flavors []model.Flavor
+	Epoch        uint64
+	Stamps       map[string]uint64
+	Jobs         map[string]*JobView
+	Leader       *LeaderRecord
+	Grants       map[string]*GrantRecord
+	MachineTypes []model.MachineType
 	// Layouts are those of the nodes' processes, as far as they are told, and Newest
 	// what is sure to be read by all, as somebody has written it already.
 	Layouts map[string]int
 	Newest  int
 
 	entries map[string]*entryView // by name, see block.BundleRecord.Names
-	bound   map[string]int        // bound pieces by job
+	bound   map[string]int        // bound tasks by job
 	bundles map[string]*bundleView
 	news    []string // jobs whose standing changed through others
 }
@@ -138,7 +138,7 @@
 		var r GrantRecord
 		err, rec = read(&r), r
 	case kind == "flavors":
-		var r FlavorsRecord
+		var r MachineTypesRecord
 		err, rec = read(&r), r
 	case kind == "node":
 		var r NodeRecord
@@ -183,11 +183,11 @@
 	return slots, names
 }
 
-// Hosts calls f for the latest record of every machine.
-func (v *View) Hosts(f func(ref string, rec *block.HostRecord)) {
+// Machines calls f for the latest record of every machine.
+func (v *View) Machines(f func(ref string, rec *block.MachineRecord)) {
 	for name, e := range v.entries {
-		if e.host != nil {
-			f(strings.TrimPrefix(name, block.HostEntry), e.host)
+		if e.machine != nil {
+			f(strings.TrimPrefix(name, block.MachineEntry), e.machine)
 		}
 	}
 }
@@ -197,16 +197,16 @@
 func (v *View) Done(ref string) model.Set {
 	var s model.Set
 	j := v.Jobs[ref]
-	if j == nil || j.Sub == nil {
+	if j == nil || j.Submission == nil {
 		return s
 	}
 	if e := v.entries[block.DoneEntry+ref]; e != nil {
 		s = model.SetOf(e.done)
 	}
-	if j.Sub.Pieces > model.PartPieces {
-		for k := range model.Parts(j.Sub.Pieces) {
+	if j.Submission.Tasks > model.TasksPerPart {
+		for k := range model.Parts(j.Submission.Tasks) {
 			if e := v.entries[block.PartEntry(ref, k)]; e != nil {
-				s.Merge(e.done, k*model.PartPieces)
+				s.Merge(e.done, k*model.TasksPerPart)
 			}
 		}
 	}
@@ -244,8 +244,8 @@
 
 // putBundle applies a bundle. What stood only in its former version is gone.
 func (v *View) putBundle(path string, r *block.BundleRecord, stamp uint64) {
-	for ref, rec := range r.Hosts {
-		v.put(block.HostEntry+ref, entryView{host: rec, at: path}, stamp)
+	for ref, rec := range r.Machines {
+		v.put(block.MachineEntry+ref, entryView{machine: rec, at: path}, stamp)
 	}
 	for name, bits := range r.Done {
 		ref, _, _ := strings.Cut(name, block.PartMark)
@@ -265,10 +265,10 @@
 
 func (v *View) count(name string, sign int) {
 	e := v.entries[name]
-	if e == nil || e.host == nil {
+	if e == nil || e.machine == nil {
 		return
 	}
-	for job, ps := range e.host.Pieces {
+	for job, ps := range e.machine.Tasks {
 		if v.bound[job] += sign * len(ps); v.bound[job] == 0 {
 			delete(v.bound, job)
 		}
@@ -291,7 +291,7 @@
 // Known tells whether a job was accepted.
 func (v *View) Known(ref string) bool {
 	j := v.Jobs[ref]
-	return j != nil && (j.Sub != nil || j.End != "")
+	return j != nil && (j.Submission != nil || j.End != "")
 }
 
 // Status is the answer to a poll for a job, as far as the view goes.
@@ -300,7 +300,7 @@
 		return "", 0, 0, false
 	}
 	if end, ok := v.Final(ref); ok {
-		return end, v.Jobs[ref].EndPieces, 0, true
+		return end, v.Jobs[ref].EndTasks, 0, true
 	}
 	s := v.Done(ref)
 	if n := v.bound[ref]; n > 0 {
@@ -318,7 +318,7 @@
 		return "", false
 	case j.End != "":
 		return j.End, true
-	case j.fallen && j.Sub != nil:
+	case j.fallen && j.Submission != nil:
 		return Withdrawn, true
 	}
 	return "", false
@@ -333,21 +333,21 @@
 	switch x := value.(type) {
 	case block.JobRecord:
 		j := v.job(rest)
-		fresh := j.Sub == nil && j.End == ""
-		j.Sub = x.Spec
+		fresh := j.Submission == nil && j.End == ""
+		j.Submission = x.Spec
 		if x.End == "" {
 			j.Stamp = stamp
 		} else {
 			j.End, j.endMs = x.End, x.AtMs
 			if x.End == Done {
-				j.EndPieces = x.Pieces
+				j.EndTasks = x.Tasks
 			}
 			delete(v.entries, block.DoneEntry+rest)
 			if x.Spec != nil {
-				x.Pieces = x.Spec.Pieces
+				x.Tasks = x.Spec.Tasks
 			}
-			if x.Pieces > model.PartPieces {
-				for k := range model.Parts(x.Pieces) {
+			if x.Tasks > model.TasksPerPart {
+				for k := range model.Parts(x.Tasks) {
 					delete(v.entries, block.PartEntry(rest, k))
 				}
 			}
@@ -367,8 +367,8 @@
 		v.Leader = &x
 	case GrantRecord:
 		v.Grants[rest] = &x
-	case FlavorsRecord:
-		v.Flavors = x.Builds
+	case MachineTypesRecord:
+		v.MachineTypes = x.MachineTypes
 	default:
 		panic("state: no such record: " + path)
 	}
--- a/internal/workerapi/workerapi.go
+++ b/internal/workerapi/workerapi.go
@@ -39,18 +39,18 @@
 	if w.Host == "" || w.Tenure == 0 {
 		return nil, errors.New("host or tenure is missing")
 	}
-	r := &block.Report{Host: w.Host, Addr: w.Address, Build: w.Build, Yard: w.Yard, Spot: w.Loaners,
-		Tenure: w.Tenure, Tally: w.Tally, Warrant: w.Warrant, Pieces: make([]block.Piece, 0, len(w.Pieces))}
+	r := &block.Report{Machine: w.Host, Addr: w.Address, MachineType: w.Build, Zone: w.Yard, Spot: w.Loaners,
+		Session: w.Tenure, Sequence: w.Tally, Token: w.Warrant, Tasks: make([]block.TaskReport, 0, len(w.Pieces))}
 	if w.RecallS != nil {
-		r.Recall, r.RecallIn = true, model.Seconds(*w.RecallS)
+		r.SpotNotice, r.ReclaimedIn = true, model.Seconds(*w.RecallS)
 	}
 	for i := range w.Pieces {
 		p := &w.Pieces[i]
-		id, ok := model.ParsePiece(p.Piece)
+		id, ok := model.ParseTaskID(p.Piece)
 		if !ok {
 			continue
 		}
-		r.Pieces = append(r.Pieces, block.Piece{ID: id, Try: p.Try, Status: model.StatusOf(p.Status), Cause: p.Cause, Stored: p.Stored})
+		r.Tasks = append(r.Tasks, block.TaskReport{ID: id, Attempt: p.Try, Status: model.StatusOf(p.Status), Cause: p.Cause, Stored: p.Stored})
 	}
 	return r, nil
 }
@@ -63,15 +63,15 @@
 }
 
 // Answer renders a response with commands.
-func Answer(token uint64, orders []block.Order) []byte {
+func Answer(token uint64, commands []block.Command) []byte {
 	out := struct {
 		Warrant uint64      `json:"warrant"`
 		Orders  []wireOrder `json:"orders"`
-	}{token, make([]wireOrder, 0, len(orders))}
-	for _, o := range orders {
-		w := wireOrder{Verb: o.Verb, Piece: o.Piece.String(), Try: o.Try}
-		if o.Verb == "stop" {
-			s := o.Leeway.Seconds()
+	}{token, make([]wireOrder, 0, len(commands))}
+	for _, o := range commands {
+		w := wireOrder{Verb: o.Op, Piece: o.Task.String(), Try: o.Attempt}
+		if o.Op == "stop" {
+			s := o.Grace.Seconds()
 			w.LeewayS = &s
 		}
 		out.Orders = append(out.Orders, w)
--- a/internal/workerapi/workerapi_test.go
+++ b/internal/workerapi/workerapi_test.go
@@ -14,13 +14,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if r.Tally != 88 || r.Warrant != 41 || !r.Spot || !r.Recall || r.RecallIn != 7_500_000 || len(r.Pieces) != 2 {
+	if r.Sequence != 88 || r.Token != 41 || !r.Spot || !r.SpotNotice || r.ReclaimedIn != 7_500_000 || len(r.Tasks) != 2 {
 		t.Errorf("%+v", r)
 	}
-	if p := r.Pieces[1]; p.ID != (model.PieceID{Job: "j-000398"}) || p.Status != model.Ended || p.Cause != "done" {
+	if p := r.Tasks[1]; p.ID != (model.TaskID{Job: "j-000398"}) || p.Status != model.Exited || p.Cause != "done" {
 		t.Errorf("%+v", p)
 	}
-	if r, err = ParseReport([]byte(`{"host":"h","tenure":1,"recallS":null}`)); err != nil || r.Recall {
+	if r, err = ParseReport([]byte(`{"host":"h","tenure":1,"recallS":null}`)); err != nil || r.SpotNotice {
 		t.Errorf("%+v, %v", r, err)
 	}
 	for _, bad := range []string{``, `[]`, `{"tenure":1}`, `{"host":"h"}`} {
@@ -31,9 +31,9 @@
 }
 
 func TestAnswer(t *testing.T) {
-	id := model.PieceID{Job: "j-000377", N: 1}
-	got := string(Answer(41, []block.Order{{Verb: "start", Piece: id, Try: 2}, {Verb: "stop", Piece: id, Try: 1, Leeway: 10 * model.Second},
-		{Verb: "stop", Piece: id, Try: 1}, {Verb: "clear", Piece: id, Try: 1}}))
+	id := model.TaskID{Job: "j-000377", Index: 1}
+	got := string(Answer(41, []block.Command{{Op: "start", Task: id, Attempt: 2}, {Op: "stop", Task: id, Attempt: 1, Grace: 10 * model.Second},
+		{Op: "stop", Task: id, Attempt: 1}, {Op: "clear", Task: id, Attempt: 1}}))
 	want := `{"warrant":41,"orders":[{"verb":"start","piece":"j-000377/1","try":2},{"verb":"stop","piece":"j-000377/1","try":1,"leewayS":10},` +
 		`{"verb":"stop","piece":"j-000377/1","try":1,"leewayS":0},{"verb":"clear","piece":"j-000377/1","try":1}]}`
 	if got != want {
