Provisioning: ordinary and spot machines apart, headroom even over zones

One call per type and round gave arrays ordinary machines whenever services rented some; arrays on idle ordinary room pushed the placeholders out, so the next were rented; placeholders sat on spot machines; and once ordinary machines were fewer, replicas waited 10 to 25 s beside room, as all headroom was in the first zone, where a service may have half.

Now: calls per type and kind; each kind has its placeholders; tasks that yield (may use spot, lower priority) do not push out those for work that needs ordinary machines; ordinary machines that no such work needs are to come empty; headroom is even over zones where jobs are spread, and held; flexible tasks prefer spot machines, unless one lost task would make their job late.

--- a/internal/core/block/learn.go
+++ b/internal/core/block/learn.go
@@ -172,3 +172,21 @@
 	}
 	m.SlowUntil = now + slowFor
 }
+
+// lossMakesLate tells that a job is thought to meet an aim as it is, but not if one of its
+// tasks is lost half through its run and begins anew: such work is better off on machines
+// that are not taken away.
+func (h *State) lossMakesLate(j *model.JobState, now model.Micros) bool {
+	if j.Deadline <= 0 {
+		return false
+	}
+	run := h.Expected(j.Job)
+	age := now - j.ReadySince
+	for _, times := range append([]float64{1}, h.Params.Deadlines[j.Class]...) {
+		aim := model.Micros(float64(j.Deadline) * times)
+		if age+run*9/10 <= aim {
+			return age+run*3/2+2*h.Params.Report > aim
+		}
+	}
+	return false
+}
--- a/internal/core/block/world.go
+++ b/internal/core/block/world.go
@@ -20,6 +20,7 @@
 			continue
 		}
 		w.Jobs = append(w.Jobs, j)
+		j.LossMakesLate = j.AllowsSpot && h.lossMakesLate(j, now)
 		if g := j.Request.GPUs; g > 0 {
 			n := len(j.Waiting) + j.BindingCount()
 			gpus += g * model.Milli(n)
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -167,16 +167,19 @@
 	ReceivesAnswers         bool   // its last report showed that our answer to the one before had reached it
 	UnansweredSince         Micros // since when it reports without hearing, 0: it hears
 	Lost                    bool   // its lease surely ran out, nothing heard since
-	Draining                bool   // to be returned once empty: no new work
-	Deleting                bool   // a deletion is on its way
-	Faulty                  bool
-	SlowUntil               Micros // it seemed slow lately: other machines are preferred until then
-	ErrorsInRow             int    // errors in a row
-	ErrorJobs               map[string]bool
-	Listed                  bool
-	Failed                  bool
-	Cache                   []string // images, most recently used last
-	CacheGB                 map[string]float64
+	// Surplus tells that no work needs it which has to be on an ordinary machine: it is
+	// to come empty, so work that may use spot machines does not go there.
+	Surplus     bool
+	Draining    bool // to be returned once empty: no new work
+	Deleting    bool // a deletion is on its way
+	Faulty      bool
+	SlowUntil   Micros // it seemed slow lately: other machines are preferred until then
+	ErrorsInRow int    // errors in a row
+	ErrorJobs   map[string]bool
+	Listed      bool
+	Failed      bool
+	Cache       []string // images, most recently used last
+	CacheGB     map[string]float64
 	// ReadyAt is when an image that is being fetched is thought to be there. An
 	// image without an entry has been seen in use.
 	ReadyAt map[string]Micros
@@ -254,8 +257,10 @@
 	WithinGuarantee bool // within its team's guarantee
 	GuaranteeInTime bool // and can still start in the time that such work is to start in
 	Starved         bool // it has waited too long to begin
-	HasPreempted    bool // others have been stopped to make room for it
-	DueAt           Micros
+	// LossMakesLate tells that it misses an aim if one of its tasks has to begin anew.
+	LossMakesLate bool
+	HasPreempted  bool // others have been stopped to make room for it
+	DueAt         Micros
 }
 
 // BindingCount is the number of bound tasks, old attempts included.
--- a/internal/core/place/cost.go
+++ b/internal/core/place/cost.go
@@ -9,10 +9,10 @@
 
 // What a choice costs, counted in the time that it makes a task wait.
 const (
-	costOrdinary     = model.Second      // an ordinary machine, where a spot machine would do
 	costGPUMachine   = model.Second      // a GPU machine for a task without GPUs
 	costStrand       = 8 * model.Second  // leaving GPUs that nothing can use
 	costFailedBefore = 30 * model.Second // the job has failed there before
+	costLoss         = 60 * model.Second // a machine may be taken, and the job would be late
 	costSlow         = 20 * model.Second // the machine seemed slow lately
 )
 
@@ -40,8 +40,11 @@
 			c += costStrand
 		}
 	}
-	if !h.Spot && j.AllowsSpot {
-		c += costOrdinary
+	if !h.Spot && j.AllowsSpot && !j.LossMakesLate {
+		c += w.premium(j, h)
+	}
+	if h.Spot && j.LossMakesLate {
+		c += costLoss
 	}
 	if j.FailedMachines[h.ID] {
 		c += costFailedBefore
@@ -52,6 +55,17 @@
 	return c
 }
 
+// premium is what running on an ordinary machine costs a task that could use a spot
+// machine, as the time that its run would last longer on a spot machine for the same
+// money: a fetch there is cheaper than the run here.
+func (w *World) premium(j *model.JobState, h *model.Machine) model.Micros {
+	f := w.MachineTypes[h.MachineType]
+	if f == nil || f.SpotPrice <= 0 || f.Price <= f.SpotPrice {
+		return model.Second
+	}
+	return max(model.Second, model.Micros(float64(j.EstimatedRun)*(f.Price/f.SpotPrice-1)))
+}
+
 // waitedLongEnough tells that a job has waited as long as it may before others suffer for
 // it. What is within its team's guarantee has an aim of its own.
 func (w *World) waitedLongEnough(j *model.JobState) bool {
@@ -111,7 +125,7 @@
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		u := r.usable(a)
-		if !j.Request.Fits(u) || !j.Allows(r.machine.MachineType, r.machine.Zone, r.machine.Spot) || w.strandsGPUs(j, r.machine) {
+		if !j.Request.Fits(u) || !mayUse(j, r.machine) || w.strandsGPUs(j, r.machine) {
 			continue
 		}
 		if ready && w.fetchTime(j, r.machine) > soon {
--- a/internal/core/place/rooms.go
+++ b/internal/core/place/rooms.go
@@ -124,3 +124,9 @@
 	n.Mem = 0
 	return n.Count(room, limit)
 }
+
+// mayUse tells whether a job's tasks may go to a machine. One that is to come empty
+// takes no work that may use spot machines.
+func mayUse(j *model.JobState, h *model.Machine) bool {
+	return j.Allows(h.MachineType, h.Zone, h.Spot) && !(h.Surplus && j.AllowsSpot)
+}
--- a/internal/core/slack/offers.go
+++ b/internal/core/slack/offers.go
@@ -21,8 +21,10 @@
 }
 
 // cheapest chooses the offer that holds n such tasks at the lowest price per
-// task. A type already chosen in this round is only asked for in the same zone
-// and kind: one call per type and round.
+// task. A type already chosen in this round is only asked for in the same zone: one
+// call per type, kind and round. Ordinary and spot machines are separate stocks, and
+// were there one call for both, work that may use spot machines would be given
+// ordinary ones whenever other work rents these in the same round.
 func (l *Provisioner) cheapest(in *Input, fresh []*slot, need model.Resources, n int, anyPrice bool, allows func(machineType, zone string, spot bool) bool) *slot {
 	var best *slot
 	bestCost := 0.0
@@ -39,31 +41,22 @@
 		if k == 0 {
 			continue
 		}
-		var called *Offer
-		calls := 0
-		for _, s := range fresh {
-			if s.offer.MachineType == label {
-				called = &s.offer
-				calls++
-			}
-		}
-		if calls >= 50 {
-			continue
-		}
+		called := calledOffers(fresh, label)
 		for _, y := range f.Zones {
 			for _, spot := range []bool{true, false} {
 				o := Offer{label, y, spot}
 				if !allows(label, y, spot) {
 					continue
 				}
+				call := called[spot]
 				cost := f.PriceOf(spot) / float64(need.Count(size, 1<<20))
 				floor = min(floor, cost)
-				if in.Now < l.refused[o] || called != nil && *called != o {
+				if in.Now < l.refused[o] || call.machines > 0 && call.offer != o || call.machines >= maxPerCall {
 					continue
 				}
 				cost = f.PriceOf(spot) / float64(k)
-				if best == nil || cost < bestCost {
-					best, bestCost = &slot{offer: o, size: size, free: size, spare: size}, cost
+				if best == nil || cost < bestCost || cost == bestCost && !spot && l.zoneMachines[y] < l.zoneMachines[best.offer.Zone] {
+					best, bestCost = &slot{offer: o, size: size, free: size, open: size, spare: size}, cost
 				}
 			}
 		}
@@ -74,11 +67,31 @@
 	return best
 }
 
+// maxPerCall is how many machines the cloud rents in one call.
+const maxPerCall = 50
+
+// call is what a round asks for of one type and kind.
+type call struct {
+	offer    Offer
+	machines int
+}
+
+// calledOffers are the calls for a type among the machines to be rented, by kind.
+func calledOffers(fresh []*slot, machineType string) map[bool]call {
+	called := map[bool]call{}
+	for _, s := range fresh {
+		if s.offer.MachineType == machineType {
+			called[s.offer.Spot] = call{s.offer, called[s.offer.Spot].machines + 1}
+		}
+	}
+	return called
+}
+
 // calls groups the machines to be rented.
 func calls(fresh []*slot) []Rental {
 	var rs []Rental
 	for _, s := range fresh {
-		i := slices.IndexFunc(rs, func(r Rental) bool { return r.MachineType == s.offer.MachineType })
+		i := slices.IndexFunc(rs, func(r Rental) bool { return r.MachineType == s.offer.MachineType && r.Spot == s.offer.Spot })
 		if i < 0 {
 			rs = append(rs, Rental{s.offer.MachineType, s.offer.Zone, s.offer.Spot, 1})
 		} else {
--- a/internal/core/slack/scaledown.go
+++ b/internal/core/slack/scaledown.go
@@ -44,7 +44,7 @@
 		for k, p := range s.placeholders {
 			moved[k] = p.machine
 		}
-		if rest := l.placePlaceholders(s.placeholders, others); len(rest) > 0 && in.Now-s.machine.EmptySince < l.idleHold(in, f, s.offer.Spot) {
+		if rest := l.placePlaceholders(s.placeholders, others); len(rest) > 0 && l.holds(in, s, f) {
 			for k, o := range others {
 				o.spare = saved[k]
 			}
@@ -57,3 +57,14 @@
 	}
 	return back
 }
+
+// holds tells whether placeholders that find no other room keep an empty machine. Those
+// that stand for work which needs ordinary machines keep what they would rent again at
+// once; others keep it for a while.
+func (l *Provisioner) holds(in *Input, s *slot, f *model.MachineType) bool {
+	hold := l.idleHold(in, f, s.offer.Spot)
+	if len(in.OrdinarySizes) > 0 && hold >= l.Params.IdleHold/3 {
+		return true
+	}
+	return in.Now-s.machine.EmptySince < hold
+}
--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -40,8 +40,14 @@
 	Machines     []*model.Machine
 	Waiting      []Demand // in the order in which they are served
 	MachineTypes map[string]*model.MachineType
-	// Sizes of tasks that are asked for now or were lately.
-	Sizes []model.Resources
+	// Sizes of tasks that are asked for now or were lately, and of those of them that
+	// need ordinary machines and that may use spot machines.
+	Sizes, OrdinarySizes, FlexibleSizes []model.Resources
+	// OrdinaryPriority is the lowest priority of unfinished jobs that need ordinary
+	// machines. Work of lower priority that may use spot machines yields to them.
+	OrdinaryPriority model.Priority
+	// Spread tells that some of these jobs have to be spread over zones.
+	Spread bool
 	// CloudOK tells that the cloud answers: what can't be rented again is kept.
 	CloudOK bool
 }
@@ -50,6 +56,9 @@
 type Output struct {
 	Rent     []Rental
 	GiveBack []*model.Machine
+	// Surplus are ordinary machines that nothing needs which has to be on one: they are
+	// to come empty, so work that may use spot machines is not to go there.
+	Surplus  []*model.Machine
 	Unplaced int // waiting tasks without a place
 }
 
@@ -58,6 +67,7 @@
 	Params       Params
 	placeholders []*placeholder
 	refused      map[Offer]model.Micros // until when an offer is not asked for again
+	zoneMachines map[string]int         // ordinary machines by zone, if they are to be even
 }
 
 // New makes a loop without placeholders; a new leader starts with this.
@@ -73,8 +83,11 @@
 	offer        Offer
 	size         model.Resources
 	free         model.Resources // after real and waiting tasks
-	spare        model.Resources // after placeholders too
+	open         model.Resources // after those that need ordinary machines, on one of these
+	spare        model.Resources // what placeholders leave of open
 	used         bool            // a waiting task was put here
+	needed       bool            // a task that needs an ordinary machine is here
+	surplus      bool            // an ordinary machine that is to come empty
 	placeholders []*placeholder
 }
 
@@ -88,26 +101,118 @@
 
 // Round runs the loop once.
 func (l *Provisioner) Round(in *Input) Output {
-	var out Output
+	slots := l.slots(in)
+	l.countZones(in, slots)
+	first, second := in.split()
+
+	// Waiting tasks take room first: they push placeholders out.
+	homeless := placeWaiting(slots, first, false)
+	l.resize(in, slots)
+	l.assignZones()
+	roaming := l.placePlaceholders(l.keepPlaceholders(slots, false), slots)
+	l.markSurplus(in, slots)
+	flexible := l.placeFlexible(in, slots, second)
+	roaming = append(roaming, l.placePlaceholders(l.keepPlaceholders(slots, true), slots)...)
+
+	// What is homeless now drives renting.
+	var fresh []*slot
+	fresh = l.rentForTasks(in, fresh, homeless)
+	fresh = l.rentForTasks(in, fresh, flexible)
+	fresh = l.rentForPlaceholders(in, slots, fresh, roaming)
+
+	out := Output{Rent: calls(fresh), Unplaced: count(homeless) + count(flexible)}
+	if in.CloudOK {
+		out.GiveBack = l.giveBack(in, slots)
+	}
+	for _, s := range slots {
+		if s.surplus {
+			out.Surplus = append(out.Surplus, s.machine)
+		}
+	}
+	l.forgetUnnamed(slots)
+	return out
+}
+
+// split parts the waiting tasks into those that are served first and those that may
+// use spot machines, which take what the first and the placeholders leave of the
+// ordinary ones. Where no work needs ordinary machines all are alike.
+func (in *Input) split() (first, flexible []Demand) {
+	if len(in.OrdinarySizes) == 0 {
+		return in.Waiting, nil
+	}
+	for _, d := range in.Waiting {
+		if d.Job.AllowsSpot {
+			flexible = append(flexible, d)
+		} else {
+			first = append(first, d)
+		}
+	}
+	return first, flexible
+}
+
+// slots lists the machines that can be counted on.
+func (l *Provisioner) slots(in *Input) []*slot {
 	slots := make([]*slot, 0, len(in.Machines))
-	byRef := map[string]*slot{}
 	for _, h := range in.Machines {
-		f := in.MachineTypes[h.MachineType]
-		if !l.usable(h, f, in.Now) {
+		if !l.usable(h, in.MachineTypes[h.MachineType], in.Now) {
 			continue
 		}
 		s := &slot{machine: h, offer: Offer{h.MachineType, h.Zone, h.Spot}, size: h.Size, free: h.Free()}
+		s.open = s.free
+		if !h.Spot && len(in.OrdinarySizes) > 0 {
+			s.countYielding(in)
+		}
 		slots = append(slots, s)
-		byRef[h.ID] = s
 	}
 	slices.SortFunc(slots, func(a, b *slot) int { return cmp.Compare(a.machine.ID, b.machine.ID) })
+	return slots
+}
 
-	// Waiting tasks take room first: they push placeholders out.
-	var tasks []unplacedTasks
+// countZones counts the ordinary machines of each zone where jobs have to be spread over
+// zones. Room in one zone alone is no use to such a job beyond its share there, so
+// placeholders and rentals go to the zones by turns.
+func (l *Provisioner) countZones(in *Input, slots []*slot) {
+	l.zoneMachines = nil
+	if !in.Spread {
+		return
+	}
+	l.zoneMachines = map[string]int{}
+	for _, f := range in.MachineTypes {
+		for _, zone := range f.Zones {
+			l.zoneMachines[zone] += 0
+		}
+	}
+	for _, s := range slots {
+		if !s.offer.Spot {
+			l.zoneMachines[s.offer.Zone]++
+		}
+	}
+}
+
+// countYielding finds out what of an ordinary machine is taken by work that yields to
+// work that needs ordinary machines: it may use spot machines and is of lower priority.
+// Its room counts as open to such work and to the placeholders that stand for it. Else
+// each task that goes there while the room is idle would have one more ordinary machine
+// rented, at several times the price of the spot machine that it could have had.
+func (s *slot) countYielding(in *Input) {
+	for _, b := range s.machine.Bindings {
+		if b.Job == nil {
+			continue
+		}
+		if b.Job.AllowsSpot && b.Job.Kind != model.Gang && b.Job.Priority < in.OrdinaryPriority {
+			s.open = s.open.Plus(b.Job.Request)
+		} else {
+			s.needed = true
+		}
+	}
+}
+
+// placeWaiting puts waiting tasks into rooms and returns those that found none.
+func placeWaiting(slots []*slot, waiting []Demand, flexible bool) (rest []unplacedTasks) {
 	var none unplaceable
-	for _, d := range in.Waiting {
+	for _, d := range waiting {
 		hopeless := none.has(d.Job, 1)
-		lim := newZoneLimits(d.Job)
+		lim := newZoneLimits(d.Job, flexible)
 		if d.Job.SameZone && !hopeless {
 			lim.choose(slots, d)
 		}
@@ -118,7 +223,7 @@
 			}
 			if k := lim.count(s, n); k > 0 {
 				lim.take(s, k)
-				s.used = true
+				s.used, s.needed = true, s.needed || !flexible
 				n -= k
 			}
 		}
@@ -126,19 +231,38 @@
 			if !hopeless && !lim.bound() {
 				none = append(none, unplacedTasks{d, n, lim})
 			}
-			tasks = append(tasks, unplacedTasks{d, n, lim})
-			out.Unplaced += n
+			rest = append(rest, unplacedTasks{d, n, lim})
 		}
 	}
+	return rest
+}
 
-	l.resize(in, slots)
+// count is the number of tasks.
+func count(tasks []unplacedTasks) (n int) {
+	for _, t := range tasks {
+		n += t.count
+	}
+	return n
+}
+
+// keepPlaceholders leaves the placeholders on their machines as far as they fit there,
+// and returns the others. Those for flexible work come after that work has been placed.
+func (l *Provisioner) keepPlaceholders(slots []*slot, flexible bool) (roaming []*placeholder) {
+	byID := make(map[string]*slot, len(slots))
 	for _, s := range slots {
-		s.spare = s.free
+		if !flexible {
+			s.spare = s.open
+		} else if s.offer.Spot {
+			s.spare = s.free
+		}
+		byID[s.machine.ID] = s
 	}
-	var roaming []*placeholder
 	for _, p := range l.placeholders {
-		s := byRef[p.machine]
-		if s != nil && p.size.Fits(s.spare) {
+		if (p.work == flexibleWork) != flexible {
+			continue
+		}
+		s := byID[p.machine]
+		if s != nil && p.suits(s) && p.size.Fits(s.spare) {
 			s.spare = s.spare.Minus(p.size)
 			s.placeholders = append(s.placeholders, p)
 			continue
@@ -146,12 +270,34 @@
 		p.machine = ""
 		roaming = append(roaming, p)
 	}
-	roaming = l.placePlaceholders(roaming, slots)
+	return roaming
+}
 
-	// What is homeless now drives renting.
-	var fresh []*slot
-	none = nil
-	for _, t := range tasks {
+// resetSpare has placeholders find all that tasks leave of a machine to be rented.
+func (s *slot) resetSpare() {
+	if s.spare = s.open; s.offer.Spot {
+		s.spare = s.free
+	}
+}
+
+// forgetUnnamed has the placeholders of machines to come, which have no name yet, seek
+// again in the next round.
+func (l *Provisioner) forgetUnnamed(slots []*slot) {
+	known := make(map[string]bool, len(slots))
+	for _, s := range slots {
+		known[s.machine.ID] = true
+	}
+	for _, p := range l.placeholders {
+		if !known[p.machine] {
+			p.machine = ""
+		}
+	}
+}
+
+// rentForTasks adds the machines that homeless tasks need to those to be rented.
+func (l *Provisioner) rentForTasks(in *Input, fresh []*slot, homeless []unplacedTasks) []*slot {
+	var none unplaceable
+	for _, t := range homeless {
 		n := t.count
 		if none.has(t.demand.Job, t.count) {
 			continue
@@ -187,41 +333,48 @@
 			fresh = append(fresh, s)
 		}
 	}
+	return fresh
+}
+
+// rentForPlaceholders adds the machines that homeless placeholders need.
+func (l *Provisioner) rentForPlaceholders(in *Input, slots, fresh []*slot, roaming []*placeholder) []*slot {
 	for _, s := range fresh {
-		s.spare = s.free
+		s.resetSpare()
 	}
 	roaming = l.placePlaceholders(roaming, fresh)
+	var elsewhere []*placeholder
+	for _, p := range roaming {
+		if p.zone != "" && !l.available(in, p.zone) {
+			// Nothing can be had in its zone at present: room in another is better than none.
+			p.zone = ""
+			elsewhere = append(elsewhere, p)
+		}
+	}
+	if len(elsewhere) > 0 {
+		l.placePlaceholders(elsewhere, slots)
+		roaming = slices.DeleteFunc(roaming, func(p *placeholder) bool { return p.machine != "" })
+	}
 	var refused *placeholder // none can be rented for it, nor for its like
 	for _, p := range roaming {
-		if refused != nil && refused.gpu == p.gpu && refused.size.Fits(p.size) {
+		if refused != nil && refused.like(p) && refused.size.Fits(p.size) {
 			continue
 		}
 		if len(l.placePlaceholders([]*placeholder{p}, fresh)) == 0 {
 			continue
 		}
-		// Placeholders are for any task to come, so they need an ordinary machine,
-		// and one that is not so dear that it soon goes back unused.
-		s := l.cheapest(in, fresh, p.size, 1, false, func(machineType, _ string, spot bool) bool {
+		// Placeholders for any task to come need an ordinary machine. None is rented
+		// that is so dear that it would soon go back unused.
+		s := l.cheapest(in, fresh, p.size, 1, false, func(machineType, zone string, spot bool) bool {
 			f := in.MachineTypes[machineType]
-			return !spot && l.idleHold(in, f, spot) >= l.Params.IdleHold/3
+			return p.allows(zone, spot) && (p.work == flexibleWork || !spot) && l.idleHold(in, f, spot) >= l.Params.IdleHold/3
 		})
 		if s == nil {
 			refused = p
 			continue
 		}
-		s.spare = s.free
+		s.resetSpare()
 		fresh = append(fresh, s)
 		l.placePlaceholders([]*placeholder{p}, fresh)
 	}
-	out.Rent = calls(fresh)
-	if in.CloudOK {
-		out.GiveBack = l.giveBack(in, slots)
-	}
-	for _, p := range l.placeholders {
-		// Machines to come have no name yet: their placeholders seek again.
-		if byRef[p.machine] == nil {
-			p.machine = ""
-		}
-	}
-	return out
+	return fresh
 }
--- a/internal/core/slack/zones.go
+++ b/internal/core/slack/zones.go
@@ -27,9 +27,14 @@
 	// only is the one zone that is considered for a job whose tasks have to be
 	// together and of which none is anywhere yet.
 	only string
+	// flexible tells that the tasks take only room that is free now, and leave what is
+	// open to work that needs ordinary machines.
+	flexible bool
 }
 
-func newZoneLimits(j *model.JobState) *zoneLimits { return &zoneLimits{job: j, left: map[string]int{}} }
+func newZoneLimits(j *model.JobState, flexible bool) *zoneLimits {
+	return &zoneLimits{job: j, left: map[string]int{}, flexible: flexible}
+}
 
 // bound tells that such rules apply.
 func (y *zoneLimits) bound() bool { return y.job.SameZone || y.job.Spread }
@@ -52,7 +57,11 @@
 	if !y.job.Allows(s.offer.MachineType, s.offer.Zone, s.offer.Spot) || s.machine != nil && !suitsJob(y.job, s) {
 		return 0
 	}
-	k := y.job.Request.Count(s.free, n)
+	room := s.open
+	if y.flexible {
+		room = s.free
+	}
+	k := y.job.Request.Count(room, n)
 	if k > 0 && y.bound() {
 		k = min(k, y.room(s.offer.Zone))
 	}
@@ -61,7 +70,11 @@
 
 // take puts tasks on a machine.
 func (y *zoneLimits) take(s *slot, k int) {
-	s.free = s.free.Minus(y.job.Request.Times(k))
+	taken := y.job.Request.Times(k)
+	s.free = s.free.Minus(taken)
+	if !y.flexible {
+		s.open = s.open.Minus(taken)
+	}
 	if y.bound() {
 		y.left[s.offer.Zone] -= k
 	}
@@ -123,3 +136,65 @@
 func suitsJob(j *model.JobState, s *slot) bool {
 	return s.size.GPUs == 0 || j.Request.GPUs > 0 || j.Priority >= model.HighPriority || s.machine != nil && s.machine.Used.GPUs > 0
 }
+
+// markSurplus finds the ordinary machines that nothing needs which has to be on one: no
+// such task, and no placeholder.
+func (l *Provisioner) markSurplus(in *Input, slots []*slot) {
+	if len(in.OrdinarySizes) == 0 {
+		return
+	}
+	for _, s := range slots {
+		s.surplus = !s.offer.Spot && !s.needed && len(s.placeholders) == 0
+	}
+}
+
+// placeFlexible puts tasks that may use spot machines into rooms. Of surplus machines
+// they get some only where no spot machine could be had for them lately.
+func (l *Provisioner) placeFlexible(in *Input, slots []*slot, waiting []Demand) []unplacedTasks {
+	var open []*slot
+	for _, s := range slots {
+		if !s.surplus {
+			open = append(open, s)
+		}
+	}
+	rest := placeWaiting(open, waiting, true)
+	var left []unplacedTasks
+	for _, t := range rest {
+		if !l.spotScarce(in, t.demand.Job) {
+			left = append(left, t)
+			continue
+		}
+		for _, s := range slots {
+			if k := t.zones.count(s, t.count); s.surplus && k > 0 {
+				t.zones.take(s, k)
+				t.count -= k
+				s.used = true
+			}
+		}
+		if t.count > 0 {
+			left = append(left, t)
+		}
+	}
+	for _, s := range slots {
+		s.surplus = s.surplus && !s.used
+	}
+	return left
+}
+
+// scarceFor is how long after a refusal spot machines count as scarce.
+const scarceFor = 60 * model.Second
+
+// spotScarce tells that a job could not have a spot machine lately.
+func (l *Provisioner) spotScarce(in *Input, j *model.JobState) bool {
+	for name, f := range in.MachineTypes {
+		if !j.Request.Fits(f.Size()) {
+			continue
+		}
+		for _, zone := range f.Zones {
+			if j.Allows(name, zone, true) && in.Now >= l.refused[Offer{name, zone, true}]-l.Params.RefusedPause+scarceFor {
+				return false
+			}
+		}
+	}
+	return true
+}
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -32,6 +32,12 @@
 	return model.Micros(float64(took) / (part * cores))
 }
 
+// taskSize is what a task takes, and whether it may use spot machines.
+type taskSize struct {
+	request    model.Resources
+	allowsSpot bool
+}
+
 // leadership is what a controller has only while it leads. It is part of the
 // controller actor.
 type leadership struct {
@@ -50,7 +56,7 @@
 	pendingRentals   map[string]cloud.Rental
 	cloudBad         model.Micros // when the cloud last failed
 	cloudGood        model.Micros
-	recentSizes      map[model.Resources]model.Micros
+	recentSizes      map[taskSize]model.Micros
 	deletedMachines  map[string]model.Micros // machines that were deleted
 	missingFromLists map[string]int
 
@@ -66,7 +72,7 @@
 func newLeadership(c *controller, token uint64) *leadership {
 	p := slack.Defaults()
 	p.ExtraCapacityRate, p.Granularity, p.RefusedPause = float64(c.op.ExtraCapacityRate), int(c.op.Granularity), model.Seconds(float64(c.op.RefusedPauseS))
-	return &leadership{c: c, token: token, provisioner: slack.New(p), pendingRentals: map[string]cloud.Rental{}, recentSizes: map[model.Resources]model.Micros{},
+	return &leadership{c: c, token: token, provisioner: slack.New(p), pendingRentals: map[string]cloud.Rental{}, recentSizes: map[taskSize]model.Micros{},
 		deletedMachines: map[string]model.Micros{}, missingFromLists: map[string]int{}, pendingDeletions: map[string]model.Micros{}}
 }
 
--- a/internal/node/provisioning.go
+++ b/internal/node/provisioning.go
@@ -239,7 +239,7 @@
 	}
 	w := l.block.World(c.now)
 	w.Sort()
-	in := &slack.Input{Now: c.now, Machines: w.Machines, MachineTypes: l.block.MachineTypes, CloudOK: l.cloudOK()}
+	in := &slack.Input{Now: c.now, Machines: w.Machines, MachineTypes: l.block.MachineTypes, CloudOK: l.cloudOK(), OrdinaryPriority: model.ProductionPriority}
 	for hire, r := range l.pendingRentals {
 		for k := range r.Count {
 			in.Machines = append(in.Machines, &model.Machine{ID: fmt.Sprintf("~%s-%d", hire, k), MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot,
@@ -251,7 +251,11 @@
 		room[t.Name] = t.Limit.Minus(w.Used[t.Name])
 	}
 	for _, j := range w.Jobs {
-		l.recentSizes[j.Request] = c.now
+		l.recentSizes[taskSize{j.Request, j.AllowsSpot}] = c.now
+		if !j.AllowsSpot {
+			in.OrdinaryPriority = min(in.OrdinaryPriority, j.Priority)
+			in.Spread = in.Spread || j.Spread
+		}
 		if len(j.Waiting) == 0 || c.now < j.NotBefore {
 			continue
 		}
@@ -271,9 +275,20 @@
 			delete(l.recentSizes, z)
 			continue
 		}
-		in.Sizes = append(in.Sizes, z)
+		in.Sizes = append(in.Sizes, z.request)
+		if !z.allowsSpot {
+			in.OrdinarySizes = append(in.OrdinarySizes, z.request)
+		} else {
+			in.FlexibleSizes = append(in.FlexibleSizes, z.request)
+		}
 	}
 	out := l.provisioner.Round(in)
+	for _, h := range l.block.Machines {
+		h.Surplus = false
+	}
+	for _, h := range out.Surplus {
+		h.Surplus = true
+	}
 	if l.cloudOK() || c.now-l.cloudBad > 2*model.Second {
 		for _, r := range out.Rent {
 			l.rentalCount++
