Provisioning: mostly unused machines are vacated; unlisted ones returned sooner

And a spot machine that was taken without notice was waited for for two report periods, 16 s, before its tasks could begin anew, though a report is overdue after 11 s.

Now: an ordinary machine that is at most half full, of replicas alone that have run for a minute, is vacated if all have room beside the placeholders on fuller machines of their zone that have their images; one in 5 s. A stop is proven before the next start, as ever. Images that are there no longer draw flexible tasks to the kind of machine that suits them less.

--- a/internal/core/block/bindings.go
+++ b/internal/core/block/bindings.go
@@ -203,3 +203,15 @@
 	}
 	h.oldest()
 }
+
+// ReportOverdue is how long after a worker's last report the next one should have come:
+// they go out every period, give or take a quarter.
+func (h *State) ReportOverdue() model.Micros { return h.Params.Report*5/4 + model.Second }
+
+// Vacate has the tasks on a machine begin anew elsewhere, so that it can be returned.
+func (h *State) Vacate(m *model.Machine, now model.Micros) {
+	m.Draining = true
+	for _, b := range m.Bindings {
+		h.stop(b, h.stopGrace(h.Jobs[b.ID.Job], b.Job.SaveTime+model.Second), "moved to other machines", now)
+	}
+}
--- a/internal/core/block/block_test.go
+++ b/internal/core/block/block_test.go
@@ -1163,3 +1163,49 @@
 		}
 	}
 }
+
+// A job that meets its deadline, but not if a task begins anew half through its run, is
+// better off on machines that are not taken away.
+func TestLossMakesLate(t *testing.T) {
+	h := newHolder(5)
+	h.Params.Deadlines = map[string][]float64{"c": {1, 2}}
+	j := job("j-1", 1, model.Array) // thought to run for 10 s
+	j.Deadline = 30 * sec
+	js := h.AddJob(j, model.Set{}, "", 0, 0)
+	for age, want := range map[model.Micros]bool{
+		0:        false, // 15 s, and two reports, fit into 30 s
+		15 * sec: true,  // 25 s do, but 30 s and two reports don't
+		25 * sec: false, // late, but in twice the time all is easy
+		42 * sec: true,
+		55 * sec: false, // nothing can be met any more
+	} {
+		if got := h.lossMakesLate(js, age); got != want {
+			t.Errorf("after %v s: %v", age.Seconds(), got)
+		}
+	}
+}
+
+// A machine that is vacated gets nothing new, and what is on it begins anew elsewhere once
+// it is gone from there, never before.
+func TestVacateMovesWithProof(t *testing.T) {
+	h := newHolder(5)
+	w := newWorker(h, "h1", "box", "a")
+	h.AddJob(job("j-1", 1, model.Service), model.Set{}, "", 0, 0)
+	w.starts()
+	w.says(3*sec, 5, running(h, "h1")...)
+	other := newWorker(h, "h2", "box", "a")
+	other.says(3*sec, 5)
+	h.Vacate(h.Machines["h1"], 4*sec)
+	if _, cs := w.says(5*sec, 5, running(h, "h1")...); len(cs) != 1 || cs[0].Op != "stop" {
+		t.Fatalf("commands %v, want a stop", cs)
+	}
+	other.says(5*sec, 5)
+	if n := len(h.Machines["h2"].Bindings); n != 0 {
+		t.Fatal("bound elsewhere before it is gone")
+	}
+	b := h.Machines["h1"].Bindings[model.TaskID{Job: "j-1"}]
+	w.says(6*sec, 5, TaskReport{ID: b.ID, Attempt: b.Attempt, Status: model.Exited, Cause: "stopped"})
+	if len(h.Machines["h1"].Bindings) != 0 || len(h.Machines["h2"].Bindings) != 1 {
+		t.Errorf("%d tasks on the vacated machine, %d on the other", len(h.Machines["h1"].Bindings), len(h.Machines["h2"].Bindings))
+	}
+}
--- a/internal/core/place/cost.go
+++ b/internal/core/place/cost.go
@@ -55,6 +55,12 @@
 	return c
 }
 
+// suitsBest tells whether a machine is of the kind that a job is better off on: a spot
+// machine if it may use one, unless it would be late if that were taken.
+func suitsBest(j *model.JobState, h *model.Machine) bool {
+	return !j.AllowsSpot || h.Spot != j.LossMakesLate
+}
+
 // premium is what running on an ordinary machine costs a task that could use a spot
 // machine, as the time that its run would last longer on a spot machine for the same
 // money: a fetch there is cheaper than the run here.
@@ -122,18 +128,24 @@
 	}
 	var rs []*room
 	count := 0
+	suited := false // there is room on the kind of machine that suits the job best
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		u := r.usable(a)
 		if !j.Request.Fits(u) || !mayUse(j, r.machine) || w.strandsGPUs(j, r.machine) {
 			continue
 		}
+		suited = suited || suitsBest(j, r.machine)
 		if ready && w.fetchTime(j, r.machine) > soon {
 			continue
 		}
 		rs = append(rs, r)
 		count += j.Request.Count(u, atLeast)
 	}
+	if ready && suited {
+		// An image that is there is no reason to go to the other kind of machine.
+		rs = slices.DeleteFunc(rs, func(r *room) bool { return !suitsBest(j, r.machine) })
+	}
 	if len(rs) == 0 {
 		w.noRoomFor[a] = append(w.noRoomFor[a], j.Request)
 	}
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -26,3 +26,42 @@
 		w.Reservations[paid] = []Reservation{{}} // kept, but nobody was stopped for it
 	}
 }
+
+// Work that may use spot machines prefers them, even if it has to fetch its image there,
+// unless a lost task would make it late; and it never goes to a machine that is to come
+// empty.
+func TestFlexibleWorkPrefersSpotMachines(t *testing.T) {
+	machine := func(id string, spot bool) *model.Machine {
+		return &model.Machine{ID: id, MachineType: "box", Zone: "a", Spot: spot, Size: model.Resources{Cores: 8000}, Up: true, ReceivesAnswers: true}
+	}
+	for _, c := range []struct {
+		what          string
+		late, surplus bool
+		spot          bool // there is room on a spot machine
+		want          string
+	}{
+		{"a job with time to spare", false, false, true, "spot"},
+		{"a job that a lost task makes late", true, false, true, "ordinary"},
+		{"no spot machine has room", false, false, false, "ordinary"},
+		{"the ordinary machine is to come empty", true, true, true, "spot"},
+		{"the same, and no spot machine has room", true, true, false, ""},
+	} {
+		ordinary, spot := machine("ordinary", false), machine("spot", true)
+		ordinary.Cache, ordinary.Surplus = []string{"i"}, c.surplus
+		if !c.spot {
+			spot.Used = spot.Size
+		}
+		job := &model.JobState{Job: &model.Job{ID: "j-1", Team: "red", Tasks: 1, Request: model.Resources{Cores: 1000}, AllowsSpot: true,
+			Image: "i", ImageGB: 5, EstimatedRun: 100 * model.Second}, Waiting: []int{0}, LossMakesLate: c.late}
+		got := ""
+		w := &World{Now: 1000, HeartbeatTimeout: model.Second, Machines: []*model.Machine{ordinary, spot}, Jobs: []*model.JobState{job},
+			Teams:        map[string]*model.Team{"red": {Limit: model.Resources{Cores: 100_000}}},
+			MachineTypes: map[string]*model.MachineType{"box": {Name: "box", Cores: 8, FetchGBps: 0.2, Price: 4, SpotPrice: 1}},
+			Rate:         func(string) float64 { return 1 }, NextAttempt: func() uint64 { return 1 },
+			Bind: func(j *model.JobState, n int, m *model.Machine, attempt uint64) { got, j.Waiting = m.ID, nil }}
+		w.Round()
+		if got != c.want {
+			t.Errorf("%s: goes to %q, want %q", c.what, got, c.want)
+		}
+	}
+}
--- a/internal/core/place/rooms.go
+++ b/internal/core/place/rooms.go
@@ -27,6 +27,7 @@
 	machineTypes, zone       string
 	allowsSpot, mustStartNow bool
 	needsGPUs, canWait       bool
+	lossMakesLate            bool
 	image                    string // if only machines that have it will do
 }
 
@@ -79,7 +80,8 @@
 }
 
 func (w *World) constraintsOf(j *model.JobState) constraints {
-	return constraints{strings.Join(j.MachineTypes, " "), j.Zone, j.AllowsSpot, w.mustStartNow(j), j.Request.GPUs > 0, w.gangCanWait(j), ""}
+	return constraints{machineTypes: strings.Join(j.MachineTypes, " "), zone: j.Zone, allowsSpot: j.AllowsSpot, mustStartNow: w.mustStartNow(j),
+		needsGPUs: j.Request.GPUs > 0, canWait: w.gangCanWait(j), lossMakesLate: j.LossMakesLate}
 }
 
 // reserveBesideGPUs sets the reserve: free GPUs that are wanted, on the machines that suit
--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -46,6 +46,9 @@
 	// OrdinaryPriority is the lowest priority of unfinished jobs that need ordinary
 	// machines. Work of lower priority that may use spot machines yields to them.
 	OrdinaryPriority model.Priority
+	// OrdinaryPatience is how long at most such a job waits before others are stopped to
+	// make room for it.
+	OrdinaryPatience model.Micros
 	// Spread tells that some of these jobs have to be spread over zones.
 	Spread bool
 	// CloudOK tells that the cloud answers: what can't be rented again is kept.
@@ -56,6 +59,8 @@
 type Output struct {
 	Rent     []Rental
 	GiveBack []*model.Machine
+	// Vacate are machines whose tasks have room elsewhere and are to move there.
+	Vacate []*model.Machine
 	// Surplus are ordinary machines that nothing needs which has to be on one: they are
 	// to come empty, so work that may use spot machines is not to go there.
 	Surplus  []*model.Machine
@@ -67,7 +72,8 @@
 	Params       Params
 	placeholders []*placeholder
 	refused      map[Offer]model.Micros // until when an offer is not asked for again
-	zoneMachines map[string]int         // ordinary machines by zone, if they are to be even
+	lastVacated  model.Micros
+	zoneMachines map[string]int // ordinary machines by zone, if they are to be even
 }
 
 // New makes a loop without placeholders; a new leader starts with this.
@@ -123,6 +129,9 @@
 	out := Output{Rent: calls(fresh), Unplaced: count(homeless) + count(flexible)}
 	if in.CloudOK {
 		out.GiveBack = l.giveBack(in, slots)
+		if len(homeless) == 0 && !slices.ContainsFunc(fresh, func(s *slot) bool { return !s.offer.Spot }) {
+			out.Vacate = l.vacate(in, slots)
+		}
 	}
 	for _, s := range slots {
 		if s.surplus {
@@ -190,20 +199,18 @@
 }
 
 // countYielding finds out what of an ordinary machine is taken by work that yields to
-// work that needs ordinary machines: it may use spot machines and is of lower priority.
-// Its room counts as open to such work and to the placeholders that stand for it. Else
-// each task that goes there while the room is idle would have one more ordinary machine
-// rented, at several times the price of the spot machine that it could have had.
+// work that needs ordinary machines: it may use spot machines, is of lower priority, and
+// is stopped sooner than a machine could boot. Its room counts as open to such work and
+// to the placeholders that stand for it. Else each task that goes there while the room is
+// idle would have one more ordinary machine rented, at several times the price of the
+// spot machine that it could have had.
 func (s *slot) countYielding(in *Input) {
+	quick := in.OrdinaryPatience < model.Seconds(in.MachineTypes[s.offer.MachineType].BootS)
 	for _, b := range s.machine.Bindings {
-		if b.Job == nil {
-			continue
-		}
-		if b.Job.AllowsSpot && b.Job.Kind != model.Gang && b.Job.Priority < in.OrdinaryPriority {
+		if quick && b.Job.AllowsSpot && b.Job.Kind != model.Gang && b.Job.Priority < in.OrdinaryPriority {
 			s.open = s.open.Plus(b.Job.Request)
-		} else {
-			s.needed = true
 		}
+		s.needed = s.needed || !b.Job.AllowsSpot
 	}
 }
 
--- a/internal/core/slack/slack_test.go
+++ b/internal/core/slack/slack_test.go
@@ -16,7 +16,7 @@
 func machine(ref, machineType string, used model.Resources) *model.Machine {
 	h := &model.Machine{ID: ref, MachineType: machineType, Zone: "a", Size: machineTypes[machineType].Size(), Used: used, Up: true, Bindings: map[model.TaskID]*model.Binding{}}
 	if !used.IsZero() {
-		h.Bindings[model.TaskID{Job: "j-0"}] = &model.Binding{}
+		h.Bindings[model.TaskID{Job: "j-0"}] = &model.Binding{Job: &model.Job{}}
 	}
 	return h
 }
@@ -183,6 +183,185 @@
 	}
 }
 
+// flexible puts a task on a machine that may use spot machines and yields to work that
+// needs ordinary ones.
+func flexible(h *model.Machine, need model.Resources) *model.Machine {
+	h.Used = h.Used.Plus(need)
+	h.Bindings[model.TaskID{Job: "j-1", Index: len(h.Bindings)}] = &model.Binding{Job: &model.Job{AllowsSpot: true, Request: need}}
+	return h
+}
+
+// mixed is an input with work that needs ordinary machines beside work that does not.
+func mixed(machines ...*model.Machine) *Input {
+	in := input(0, machines...)
+	in.OrdinarySizes = []model.Resources{{Cores: 5000}}
+	in.FlexibleSizes = []model.Resources{{Cores: 5000}}
+	in.OrdinaryPriority, in.OrdinaryPatience = model.HighPriority, 5*sec
+	return in
+}
+
+func production(n int, need model.Resources) Demand {
+	d := demand(n, need, false)
+	d.Job.Priority = model.ProductionPriority
+	return d
+}
+
+// Work that needs ordinary machines and work that does not get each their own, also in
+// the same round: once, all got ordinary ones, at four times the price.
+func TestOrdinaryAndSpotMachinesInOneRound(t *testing.T) {
+	need := model.Resources{Cores: 5000}
+	in := mixed()
+	in.Waiting = []Demand{production(4, need), demand(6, need, true)}
+	rents := map[bool]int{}
+	for _, r := range New(Defaults()).Round(in).Rent {
+		rents[r.Spot] += r.Count
+	}
+	// Each kind has one machine more for its largest placeholder.
+	if rents[false] != 3 || rents[true] != 4 {
+		t.Errorf("rents %d ordinary and %d spot boxes, want 2 and 3 for tasks and one each for placeholders", rents[false], rents[true])
+	}
+}
+
+// Tasks that yield do not push out the placeholders of work that needs ordinary machines,
+// nor does that work have machines rented beside them; but only where they are stopped
+// for it sooner than a machine boots.
+func TestYieldingWork(t *testing.T) {
+	need := model.Resources{Cores: 5000}
+	ordinary := func(patience model.Micros) (n int) {
+		in := mixed(flexible(flexible(machine("h1", "box", model.Resources{}), need), need))
+		in.OrdinaryPatience = patience
+		in.Waiting = []Demand{production(1, need)}
+		for _, r := range New(Defaults()).Round(in).Rent {
+			if !r.Spot {
+				n += r.Count
+			}
+		}
+		return n
+	}
+	if n := ordinary(5 * sec); n != 0 {
+		t.Errorf("rents %d ordinary boxes though the tasks on one yield to a task and a placeholder", n)
+	}
+	if n := ordinary(100 * sec); n != 1 {
+		t.Errorf("rents %d ordinary boxes, want one: no task is stopped for such work before a box is up", n)
+	}
+}
+
+// Ordinary machines that no work needs which has to be on one are to come empty; work
+// that may use spot machines counts on them only where it can't have those.
+func TestSurplusMachines(t *testing.T) {
+	need := model.Resources{Cores: 5000}
+	h1 := machine("h1", "box", model.Resources{Cores: 5000}) // has an ordinary task, and takes the placeholder
+	h2 := flexible(machine("h2", "box", model.Resources{}), need)
+	in := mixed(h1, h2)
+	in.FlexibleSizes = nil // no placeholder for such work
+	in.Waiting = []Demand{demand(1, need, true)}
+	l := New(Defaults())
+	out := l.Round(in)
+	if len(out.Surplus) != 1 || out.Surplus[0] != h2 {
+		t.Fatalf("surplus is %v, want h2", out.Surplus)
+	}
+	if len(out.Rent) != 0 {
+		t.Errorf("rents %v though there is room on h1", out.Rent)
+	}
+	in.Waiting = []Demand{demand(2, need, true)}
+	if out = l.Round(in); len(out.Rent) != 1 || !out.Rent[0].Spot {
+		t.Errorf("rents %v, want a spot box beside the surplus one", out.Rent)
+	}
+	for _, machineType := range []string{"box", "gpu"} {
+		for _, zone := range []string{"a", "b"} {
+			l.Refuse(Offer{machineType, zone, true}, 0)
+		}
+	}
+	if out = l.Round(in); len(out.Surplus) != 0 || out.Unplaced != 0 {
+		t.Errorf("surplus %v, %d tasks without a place: no spot machine can be had, h2 is wanted", out.Surplus, out.Unplaced)
+	}
+}
+
+// Where jobs have to be spread over zones, placeholders are too: room for a new replica in
+// one zone alone leaves half of them without.
+func TestPlaceholdersAreSpreadOverZones(t *testing.T) {
+	in := mixed(machine("h1", "box", model.Resources{}), machine("h2", "box", model.Resources{}), machine("h3", "box", model.Resources{}))
+	in.Spread = true
+	l := New(Defaults())
+	out := l.Round(in)
+	zones := map[string]int{}
+	for _, p := range l.placeholders {
+		if p.work == ordinaryWork {
+			zones[p.zone]++
+		}
+	}
+	if len(zones) != 2 || zones["a"]-zones["b"] > 1 || zones["b"]-zones["a"] > 1 {
+		t.Errorf("placeholders by zone: %v, want as many in each", zones)
+	}
+	rented := 0
+	for _, r := range out.Rent {
+		if !r.Spot && r.Zone == "b" {
+			rented += r.Count
+		}
+	}
+	if rented == 0 {
+		t.Errorf("rents %v, want a box in zone b, where there is none", out.Rent)
+	}
+}
+
+// A placeholder of work that needs ordinary machines keeps the machine that it would have
+// rented again at once.
+func TestOrdinaryPlaceholdersKeepTheirMachine(t *testing.T) {
+	h := machine("h1", "box", model.Resources{})
+	in := mixed(h)
+	in.FlexibleSizes = nil
+	in.Now = 1000 * sec
+	l := New(Defaults())
+	if out := l.Round(in); len(out.GiveBack) != 0 {
+		t.Errorf("gives back %v, which holds the only placeholder", out.GiveBack)
+	}
+	in.Machines = append(in.Machines, machine("h2", "box", model.Resources{}))
+	if out := l.Round(in); len(out.GiveBack) != 1 {
+		t.Errorf("gives back %v, want one of two", out.GiveBack)
+	}
+}
+
+// A machine that is mostly unused is vacated if its replicas have room, with their images,
+// on fuller ones of its zone beside the placeholders.
+func TestVacate(t *testing.T) {
+	need := model.Resources{Cores: 2000}
+	replicas := func(ref string, n int) *model.Machine {
+		h := machine(ref, "box", model.Resources{})
+		h.Cache = []string{"i"}
+		for i := range n {
+			h.Used = h.Used.Plus(need)
+			h.Bindings[model.TaskID{Job: "j-" + ref, Index: i}] = &model.Binding{RunningSince: sec,
+				Job: &model.Job{Kind: model.Service, Priority: model.ProductionPriority, Request: need, Image: "i"}}
+		}
+		return h
+	}
+	round := func(change func(in *Input, little, fuller *model.Machine)) []*model.Machine {
+		little, fuller := replicas("h1", 1), replicas("h2", 3)
+		in := mixed(little, fuller)
+		in.OrdinarySizes = []model.Resources{{Cores: 1000}}
+		in.Now = 100 * sec
+		change(in, little, fuller)
+		return New(Defaults()).Round(in).Vacate
+	}
+	if got := round(func(*Input, *model.Machine, *model.Machine) {}); len(got) != 1 || got[0].ID != "h1" {
+		t.Errorf("vacates %v, want h1", got)
+	}
+	for why, change := range map[string]func(in *Input, little, fuller *model.Machine){
+		"the image is not there":    func(_ *Input, _, fuller *model.Machine) { fuller.Cache = nil },
+		"no room":                   func(_ *Input, _, fuller *model.Machine) { fuller.Used = fuller.Size },
+		"another zone":              func(_ *Input, _, fuller *model.Machine) { fuller.Zone = "b" },
+		"it began just now":         func(in *Input, _, _ *model.Machine) { in.Now = 61*sec - 1 },
+		"an array runs there":       func(_ *Input, little, _ *model.Machine) { flexible(little, need) },
+		"the room is placeholders'": func(in *Input, _, _ *model.Machine) { in.OrdinarySizes = []model.Resources{{Cores: 4000}} },
+		"the cloud is down":         func(in *Input, _, _ *model.Machine) { in.CloudOK = false },
+		"tasks wait for a machine":  func(in *Input, _, _ *model.Machine) { in.Waiting = []Demand{production(9, need)} },
+	} {
+		if got := round(change); len(got) != 0 {
+			t.Errorf("vacates %v though %s", got[0].ID, why)
+		}
+	}
+}
+
 // Room in a zone that the rules on zones close to a job's tasks is none for them:
 // machines are rented where they may go. Once, the second replica of a service that has
 // to be apart waited beside such room for ever.
--- a/internal/core/slack/zones.go
+++ b/internal/core/slack/zones.go
@@ -191,7 +191,8 @@
 			continue
 		}
 		for _, zone := range f.Zones {
-			if j.Allows(name, zone, true) && in.Now >= l.refused[Offer{name, zone, true}]-l.Params.RefusedPause+scarceFor {
+			until, refused := l.refused[Offer{name, zone, true}]
+			if j.Allows(name, zone, true) && (!refused || in.Now >= until-l.Params.RefusedPause+scarceFor) {
 				return false
 			}
 		}
--- a/internal/node/provisioning.go
+++ b/internal/node/provisioning.go
@@ -194,7 +194,7 @@
 		case h.Deleting:
 		case h.Failed:
 			l.returnMachine(h, "failed")
-		case l.missingFromLists[ref] >= l.lists(h) && silent > 2*l.block.Params.Report:
+		case l.missingFromLists[ref] >= l.lists(h) && silent > l.block.ReportOverdue():
 			l.returnMachine(h, "not listed any more")
 		case h.Up && h.Lost && silent > l.block.LeaseExpiry()+5*model.Second:
 			l.returnMachine(h, "silent")
@@ -254,6 +254,7 @@
 		l.recentSizes[taskSize{j.Request, j.AllowsSpot}] = c.now
 		if !j.AllowsSpot {
 			in.OrdinaryPriority = min(in.OrdinaryPriority, j.Priority)
+			in.OrdinaryPatience = max(in.OrdinaryPatience, w.Patience(j))
 			in.Spread = in.Spread || j.Spread
 		}
 		if len(j.Waiting) == 0 || c.now < j.NotBefore {
@@ -304,6 +305,9 @@
 	for _, h := range out.GiveBack {
 		l.returnMachine(h, "idle")
 	}
+	for _, h := range out.Vacate {
+		l.block.Vacate(h, c.now)
+	}
 	if out.Unplaced > 0 {
 		l.provisionSoon = true
 	}
