Placeholders: twice the share on spot machines

Tried for the starts of arrays and for tasks that a wave of spot machines takes along: they need room at once, and idle spot room costs a quarter.

--- a/internal/core/slack/placeholders.go
+++ b/internal/core/slack/placeholders.go
@@ -78,6 +78,11 @@
 	return rest
 }
 
+// flexibleShare is how many times the extra share of ordinary machines is held on spot
+// machines. A spot machine that is idle costs a fraction of an ordinary one, and those
+// that are taken without notice take their tasks with them, which then need room at once.
+const flexibleShare = 2
+
 // resize brings number and sizes of the placeholders to what the fleet and the
 // tasks ask for, keeping those that exist on their machines. Where some work needs
 // ordinary machines, each kind of machine has its own, and those on ordinary ones are a
@@ -114,7 +119,11 @@
 			}
 		}
 		largest = model.Resources{Cores: min(largest.Cores, biggest.Cores), GPUs: min(largest.GPUs, biggest.GPUs), Mem: min(largest.Mem, biggest.Mem)}
-		extra := model.Resources{Cores: share(capacity.Cores, l.Params.ExtraCapacityRate), GPUs: share(capacity.GPUs, l.Params.ExtraCapacityRate), Mem: share(capacity.Mem, l.Params.ExtraCapacityRate)}
+		rate := l.Params.ExtraCapacityRate
+		if work == flexibleWork {
+			rate *= flexibleShare
+		}
+		extra := model.Resources{Cores: share(capacity.Cores, rate), GPUs: share(capacity.GPUs, rate), Mem: share(capacity.Mem, rate)}
 		count := machines * l.Params.Granularity
 		var each model.Resources
 		if rest := extra.Minus(largest); count > 0 {
