No surplus machines while spot ones are scarce; machines that report did come up

Found by the tests. TestManyMachinesFailTogether: where spot machines are refused, ordinary ones that run such work were surplus between two of its jobs, and what came next waited for the next round (half a second, on 550 of 1,650 machines). TestWholeFleetIsNotReturnedAsDeaf: an empty machine whose reports arrive was returned as "never came up" when it had not heard the new leader within a minute; it is for the rule on machines that do not hear to judge it.

TestSurplusMachines sees that nothing is surplus while spot is scarce.

--- a/internal/core/slack/slack_test.go
+++ b/internal/core/slack/slack_test.go
@@ -275,6 +275,11 @@
 	if out = l.Round(in); len(out.Surplus) != 0 || out.Unplaced != 0 {
 		t.Errorf("surplus %v, %d tasks without a place: no spot machine can be had, h2 is wanted", out.Surplus, out.Unplaced)
 	}
+	// Also while nothing waits: what comes next is to find it at once.
+	in.FlexibleSizes, in.Waiting = []model.Resources{need}, nil
+	if out = l.Round(in); len(out.Surplus) != 0 {
+		t.Errorf("surplus %v while spot machines are scarce", out.Surplus)
+	}
 }
 
 // Where jobs have to be spread over zones, placeholders are too: room for a new replica in
--- a/internal/core/slack/zones.go
+++ b/internal/core/slack/zones.go
@@ -138,11 +138,17 @@
 }
 
 // markSurplus finds the ordinary machines that nothing needs which has to be on one: no
-// such task, and no placeholder.
+// such task, and no placeholder. There are none as long as some work that may use spot
+// machines can't have any: it is what the others are for.
 func (l *Provisioner) markSurplus(in *Input, slots []*slot) {
 	if len(in.OrdinarySizes) == 0 {
 		return
 	}
+	for _, size := range in.FlexibleSizes {
+		if l.spotScarce(in, &model.Job{Request: size, AllowsSpot: true}) {
+			return
+		}
+	}
 	for _, s := range slots {
 		s.surplus = !s.offer.Spot && !s.needed && len(s.placeholders) == 0
 	}
@@ -160,7 +166,7 @@
 	rest := placeWaiting(open, waiting, true)
 	var left []unplacedTasks
 	for _, t := range rest {
-		if !l.spotScarce(in, t.demand.Job) {
+		if !l.spotScarce(in, t.demand.Job.Job) {
 			left = append(left, t)
 			continue
 		}
@@ -185,7 +191,7 @@
 const scarceFor = 60 * model.Second
 
 // spotScarce tells that a job could not have a spot machine lately.
-func (l *Provisioner) spotScarce(in *Input, j *model.JobState) bool {
+func (l *Provisioner) spotScarce(in *Input, j *model.Job) bool {
 	for name, f := range in.MachineTypes {
 		if !j.Request.Fits(f.Size()) {
 			continue
--- a/internal/node/provisioning.go
+++ b/internal/node/provisioning.go
@@ -202,7 +202,7 @@
 			l.returnMachine(h, "does not hear")
 		case h.Draining && len(h.Bindings) == 0:
 			l.returnMachine(h, "not wanted")
-		case !h.Up && f != nil && len(h.Bindings) == 0 && c.now-h.RentedAt > max(model.Seconds(f.BootS*l.provisioner.Params.FailedAfterBoots), 60*model.Second):
+		case !h.Up && f != nil && len(h.Bindings) == 0 && silent > max(model.Seconds(f.BootS*l.provisioner.Params.FailedAfterBoots), 60*model.Second):
 			l.returnMachine(h, "never came up")
 		}
 	}
