--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -80,6 +80,16 @@
 	return long, gang, service
 }
 
+// tasksIn is the number of tasks on the machines of a zone.
+func (m *meeting) tasksIn(zone string) (n int) {
+	for _, x := range m.cloud.Workers() {
+		if x.Zone == zone {
+			n += x.Tasks()
+		}
+	}
+	return n
+}
+
 func (m *meeting) on(u *user) int { return m.rules.OnMachineOf(u.sub.ID) }
 
 func (m *meeting) ready() *simNode {
@@ -504,6 +514,34 @@
 		}
 		m.over(long, service)
 	}},
+	{"the zone of all controllers is cut off for longer than a lease, right after a cancellation", func(m *meeting) {
+		long, gang, service := m.load()
+		if m.tasksIn("a") == 0 || m.tasksIn("b") == 0 {
+			m.t.Fatal("nothing runs in one of the zones")
+		}
+		l := m.leads()
+		l.setCut(dropped) // the leader does not hear of the cancellation
+		l.alone = true
+		long.cancel(m.other(l))
+		m.withdrawn(10*model.Second, long)
+		for _, n := range m.nodes {
+			n.setCut(dropped)
+			n.hidden = true
+		}
+		m.reaches = func(x *standin.Worker, _ *simNode) bool { return x.Zone == "a" }
+		m.Run(m.Now + 2*model.Second)
+		m.restart(m.other(l), 8*model.Second)
+		m.Run(m.Now + m.lease() + 2*model.Second)
+		if n := m.tasksIn("b"); n > 0 {
+			m.t.Fatalf("%d tasks in the other zone outlive their leases", n)
+		}
+		m.over(long)
+		m.calm()
+		// What ended there goes on, a report and its start after the takeover.
+		m.until(3*m.report()+10*model.Second, "replicas and gang run again", func() bool {
+			return m.on(service) == 2 && m.on(gang) == 3
+		})
+	}},
 	{"jobs of two or three tasks end far apart across a change of leader", func(m *meeting) {
 		m.cloud.Run = func(*model.Job) model.Micros { return m.Between(2*model.Second, 50*model.Second) }
 		for i := range 8 {
