Tests: the gap with starts in flight, odd requests and cancellations at ends drawn

TestTheGapWithStartsInFlight is seen failing (tasks on machines after their cancellation) with the end of authority taken out. TestRandomFailures draws two more troubles and services.

--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -59,6 +59,14 @@
 				w.submit(s, cancel)
 			})
 		}
+		for i := range rapid.IntRange(0, 3).Draw(rt, "services") {
+			at, cancel := w.Between(0, 60*model.Second), w.Between(30*model.Second, 200*model.Second)
+			w.At(at, func() {
+				s := sweepJob(50+i, 1+w.Rng.IntN(4), 0)
+				s.Kind, s.Priority, s.AllowsSpot, s.Spread = "service", "critical", false, w.Chance(0.7)
+				w.submit(s, cancel)
+			})
+		}
 		for i := range rapid.IntRange(0, 3).Draw(rt, "pipelines") {
 			cancel := model.Micros(0)
 			if w.Chance(0.4) {
@@ -105,7 +113,7 @@
 }
 
 // faultKinds is the number of troubles that fault knows.
-const faultKinds = 20
+const faultKinds = 22
 
 func fault(w *world, kind int, long model.Micros) {
 	n := w.nodes[w.Rng.IntN(len(w.nodes))]
@@ -228,6 +236,27 @@
 				})
 			}
 		})
+	case 20: // users cancel jobs at the moment of their end
+		w.rules.Finished = func(ref string) {
+			for _, u := range w.users {
+				if u.sub.ID == ref && u.accepted && w.Chance(0.7) {
+					w.After(w.Between(0, 1500*model.Millisecond), func() { u.cancel(nil) })
+				}
+			}
+		}
+		w.After(long, func() { w.rules.Finished = nil })
+	case 21: // users ask everywhere, repeat submissions, altered ones too, and cancel what is done
+		looks := w.closeLooks
+		w.closeLooks = true
+		for _, u := range w.users {
+			if u.accepted && w.Chance(0.6) {
+				u.look()
+			}
+			if u.ended == "done" && w.Chance(0.5) {
+				u.cancel(nil)
+			}
+		}
+		w.closeLooks = looks
 	case 9:
 		for _, x := range ws {
 			switch {
--- a/internal/node/meetings_test.go
+++ b/internal/node/meetings_test.go
@@ -310,6 +310,48 @@
 	}
 }
 
+// The same while starts of the cancelled job are still on their way to machines, and
+// with a job that awaits it, which is withdrawn with it and never begins.
+func TestTheGapWithStartsInFlight(t *testing.T) {
+	for i, ts := range meetingTimes {
+		for k, until := range []model.Micros{model.Second, 5 * model.Second, 10 * model.Second} {
+			t.Run(fmt.Sprintf("cancel %v outage after %.1f", ts.cancel, until.Seconds()), func(t *testing.T) {
+				t.Parallel()
+				m := newMeeting(t, ts, uint64(300+i*10+k))
+				m.load()
+				first := m.sweep(6, 300)
+				m.until(20*model.Second, "it is accepted", func() bool { return first.accepted })
+				s := sweepJob(600, 2, 5)
+				s.Awaits = []string{first.sub.ID}
+				next := m.add(s)
+				m.until(20*model.Second, "that which awaits it is accepted", func() bool { return next.accepted })
+				l := m.leads()
+				m.until(90*model.Second, "starts are on their way", func() bool {
+					j := l.ctl.leading.block.Jobs[first.sub.ID]
+					return j != nil && len(j.Bindings) > m.on(first)
+				})
+				l.setCut(refused)
+				cut := m.Now
+				first.cancel(m.other(l))
+				m.withdrawn(10*model.Second, first)
+				m.Run(max(m.Now, cut+until))
+				m.state.SetOutage(true)
+				m.Run(max(m.Now, cut+14*model.Second))
+				l.setCut(open)
+				m.over(first)
+				m.Run(m.Now + m.rules.Cancel/4)
+				m.state.SetOutage(false)
+				m.Run(m.Now + 3*model.Second)
+				m.withdrawn(20*model.Second, next)
+				if m.on(next) > 0 {
+					t.Error("what awaits a withdrawn job runs")
+				}
+				m.served()
+			})
+		}
+	}
+}
+
 // meetings are the others, in the order in which the users name them.
 var meetings = []struct {
 	name string
