Surplus machines take work that has waited for 45 s

Found in reading the change again: a job that may use spot machines counts on those that were rented for it, and some take several times as long to boot; meanwhile a surplus machine with room was closed to it, so it could have waited beside that for 90 s. The case in TestFlexibleWorkPrefersSpotMachines is seen failing without it.

--- a/internal/core/place/cost.go
+++ b/internal/core/place/cost.go
@@ -132,7 +132,7 @@
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		u := r.usable(a)
-		if !j.Request.Fits(u) || !mayUse(j, r.machine) || w.strandsGPUs(j, r.machine) {
+		if !j.Request.Fits(u) || !w.mayUse(j, r.machine) || w.strandsGPUs(j, r.machine) {
 			continue
 		}
 		suited = suited || suitsBest(j, r.machine)
--- a/internal/core/place/place_test.go
+++ b/internal/core/place/place_test.go
@@ -39,12 +39,14 @@
 		late, surplus bool
 		spot          bool // there is room on a spot machine
 		want          string
+		waited        model.Micros
 	}{
-		{"a job with time to spare", false, false, true, "spot"},
-		{"a job that a lost task makes late", true, false, true, "ordinary"},
-		{"no spot machine has room", false, false, false, "ordinary"},
-		{"the ordinary machine is to come empty", true, true, true, "spot"},
-		{"the same, and no spot machine has room", true, true, false, ""},
+		{"a job with time to spare", false, false, true, "spot", 0},
+		{"a job that a lost task makes late", true, false, true, "ordinary", 0},
+		{"no spot machine has room", false, false, false, "ordinary", 0},
+		{"the ordinary machine is to come empty", true, true, true, "spot", 0},
+		{"the same, and no spot machine has room", true, true, false, "", 0},
+		{"the same, and it has waited for long", true, true, false, "ordinary", surplusOpensAfter},
 	} {
 		ordinary, spot := machine("ordinary", false), machine("spot", true)
 		ordinary.Cache, ordinary.Surplus = []string{"i"}, c.surplus
@@ -54,6 +56,7 @@
 		job := &model.JobState{Job: &model.Job{ID: "j-1", Team: "red", Tasks: 1, Request: model.Resources{Cores: 1000}, AllowsSpot: true,
 			Image: "i", ImageGB: 5, EstimatedRun: 100 * model.Second}, Waiting: []int{0}, LossMakesLate: c.late}
 		got := ""
+		job.ReadySince = 1000 - c.waited
 		w := &World{Now: 1000, HeartbeatTimeout: model.Second, Machines: []*model.Machine{ordinary, spot}, Jobs: []*model.JobState{job},
 			Teams:        map[string]*model.Team{"red": {Limit: model.Resources{Cores: 100_000}}},
 			MachineTypes: map[string]*model.MachineType{"box": {Name: "box", Cores: 8, FetchGBps: 0.2, Price: 4, SpotPrice: 1}},
--- a/internal/core/place/preempt.go
+++ b/internal/core/place/preempt.go
@@ -29,7 +29,7 @@
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		h := r.machine
-		if !j.Request.Fits(h.Size) || !mayUse(j, h) || w.strandsGPUs(j, h) || !suits(h) {
+		if !j.Request.Fits(h.Size) || !w.mayUse(j, h) || w.strandsGPUs(j, h) || !suits(h) {
 			continue
 		}
 		w.findVictims(r)
--- a/internal/core/place/reservations.go
+++ b/internal/core/place/reservations.go
@@ -54,7 +54,7 @@
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		k := min(j.Request.Count(r.free(), n), n)
-		if k > 0 && mayUse(j, r.machine) {
+		if k > 0 && w.mayUse(j, r.machine) {
 			r.reserved = r.reserved.Plus(j.Request.Times(k))
 			if n -= k; n == 0 {
 				return
@@ -87,7 +87,7 @@
 	for i := range w.rooms {
 		r := &w.rooms[i]
 		h := r.machine
-		if !j.Request.Fits(h.Size.Minus(r.reserved)) || !mayUse(j, h) || w.reservedZones[h.Zone] || w.strandsGPUs(j, h) {
+		if !j.Request.Fits(h.Size.Minus(r.reserved)) || !w.mayUse(j, h) || w.reservedZones[h.Zone] || w.strandsGPUs(j, h) {
 			continue
 		}
 		// Room for one task after another, as the present ones end.
--- a/internal/core/place/rooms.go
+++ b/internal/core/place/rooms.go
@@ -28,6 +28,7 @@
 	allowsSpot, mustStartNow bool
 	needsGPUs, canWait       bool
 	lossMakesLate            bool
+	surplusOpen              bool
 	image                    string // if only machines that have it will do
 }
 
@@ -81,7 +82,7 @@
 
 func (w *World) constraintsOf(j *model.JobState) constraints {
 	return constraints{machineTypes: strings.Join(j.MachineTypes, " "), zone: j.Zone, allowsSpot: j.AllowsSpot, mustStartNow: w.mustStartNow(j),
-		needsGPUs: j.Request.GPUs > 0, canWait: w.gangCanWait(j), lossMakesLate: j.LossMakesLate}
+		needsGPUs: j.Request.GPUs > 0, canWait: w.gangCanWait(j), lossMakesLate: j.LossMakesLate, surplusOpen: j.AllowsSpot && w.surplusOpen(j)}
 }
 
 // reserveBesideGPUs sets the reserve: free GPUs that are wanted, on the machines that suit
@@ -127,8 +128,15 @@
 	return n.Count(room, limit)
 }
 
+// surplusOpensAfter is how long a job waits until machines that are to come empty take it
+// all the same: machines that were rented for it may be slow to boot, and no job may wait
+// for 90 s beside a machine that has room.
+const surplusOpensAfter = 45 * model.Second
+
 // mayUse tells whether a job's tasks may go to a machine. One that is to come empty
-// takes no work that may use spot machines.
-func mayUse(j *model.JobState, h *model.Machine) bool {
-	return j.Allows(h.MachineType, h.Zone, h.Spot) && !(h.Surplus && j.AllowsSpot)
+// takes no work that may use spot machines, unless that has waited for long.
+func (w *World) mayUse(j *model.JobState, h *model.Machine) bool {
+	return j.Allows(h.MachineType, h.Zone, h.Spot) && (!h.Surplus || !j.AllowsSpot || w.surplusOpen(j))
 }
+
+func (w *World) surplusOpen(j *model.JobState) bool { return w.Now-idleSince(j) >= surplusOpensAfter }
