--- a/cmd/woadweir/main.go
+++ b/cmd/woadweir/main.go
@@ -19,6 +19,7 @@
 
 type cli struct {
 	Run     runCmd     `cmd:"" default:"withargs" help:"Run a controller until it is killed (the default)."`
+	Duties  dutiesCmd  `cmd:"" help:"Tell who holds which single-holder duty, since when, and why the holder before lost it."`
 	Check   checkCmd   `cmd:"" help:"Read and check the settings, and print the first thing wrong."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
@@ -26,6 +27,7 @@
 type files struct {
 	Config   string `required:"" placeholder:"PATH" help:"The platform's settings file (TOML)."`
 	Operator string `placeholder:"PATH" help:"The operators' own settings (XML). Without it, defaults hold."`
+	Duties   string `placeholder:"PATH" help:"Which controllers hold single-holder duties (XML). Without it, the leader does everything."`
 }
 
 func (f *files) load() (*config.Settings, *config.Operator, error) {
@@ -34,6 +36,10 @@
 		return nil, nil, err
 	}
 	o, err := config.LoadOperator(f.Operator)
+	if err != nil {
+		return nil, nil, err
+	}
+	o.Duties, err = config.LoadDuties(f.Duties, s, o)
 	return s, o, err
 }
 
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -17,6 +17,7 @@
 
 	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
+	"woadweir/internal/duty"
 )
 
 // Sibling is another controller.
@@ -301,6 +302,8 @@
 	Granularity       Number   `xml:"granularity"`
 	BlockLeaseS       Number   `xml:"block-lease-s"`
 	RefusedPauseS     Number   `xml:"refused-pause-s"`
+	// Duties is the duties file, nil without one.
+	Duties *duty.Policy `xml:"-"`
 }
 
 // Number is a decimal number in an element; what is none is reported with the
--- a/internal/core/lead/lead.go
+++ b/internal/core/lead/lead.go
@@ -75,9 +75,12 @@
 
 // Holds tells whether the process may act now.
 func (a *Authority) Holds(now model.Micros) bool {
-	return a.session && a.caught && now < a.Spans.Until(min(a.touched, a.synced))
+	return a.session && a.caught && now < a.Ends()
 }
 
+// Ends is when authority ends that holds now.
+func (a *Authority) Ends() model.Micros { return a.Spans.Until(min(a.touched, a.synced)) }
+
 // Fresh tells whether the view alone is recent enough to serve users.
 func (a *Authority) Fresh(now model.Micros) bool {
 	return a.caught && now < a.Spans.Until(a.synced)
--- /dev/null
+++ b/internal/duty/cleaner.go
@@ -0,0 +1,73 @@
+package duty
+
+import (
+	"cmp"
+	"slices"
+
+	"woadweir/internal/core/model"
+)
+
+// How long something has to stand unneeded before it is removed.
+const (
+	// The block's holder writes unused bundles anew before it adds others.
+	retainBundle = 120 * model.Second
+	// A removed slot could be created once more by a late copy of a write, so it stays
+	// for longer than any message is late.
+	retainIntent = 1800 * model.Second
+)
+
+// Removal is a key that nobody needs, with the revision that was looked at.
+type Removal struct {
+	Key   string
+	Stamp uint64
+}
+
+// Unneeded is a key that could be removed, were it to stay as it is.
+type Unneeded struct {
+	Removal
+	Retain model.Micros
+}
+
+// UnneededIntent makes the slot of a finished intent a candidate for removal.
+func UnneededIntent(key string, stamp uint64) Unneeded {
+	return Unneeded{Removal{key, stamp}, retainIntent}
+}
+
+// UnneededBundle makes an unused bundle a candidate for removal.
+func UnneededBundle(key string, stamp uint64) Unneeded {
+	return Unneeded{Removal{key, stamp}, retainBundle}
+}
+
+// firstSight is when a candidate was first seen in its present revision.
+type firstSight struct {
+	stamp uint64
+	at    model.Micros
+}
+
+// Cleaner chooses what to remove. Its memory is only of what it has seen itself, so a new
+// holder of the duty begins to count anew.
+type Cleaner struct{ seen map[string]firstSight }
+
+// NewCleaner makes a cleaner that has seen nothing.
+func NewCleaner() *Cleaner { return &Cleaner{seen: map[string]firstSight{}} }
+
+// Plan gives at most so many removals among what is unneeded now, the longest known first.
+func (c *Cleaner) Plan(now model.Micros, unneeded []Unneeded, most int) []Removal {
+	seen := make(map[string]firstSight, len(unneeded))
+	var ripe []Removal
+	for _, u := range unneeded {
+		first, known := c.seen[u.Key]
+		if !known || first.stamp != u.Stamp {
+			first = firstSight{u.Stamp, now}
+		}
+		seen[u.Key] = first
+		if now-first.at >= u.Retain {
+			ripe = append(ripe, u.Removal)
+		}
+	}
+	c.seen = seen
+	slices.SortFunc(ripe, func(a, b Removal) int {
+		return cmp.Or(cmp.Compare(seen[a.Key].at, seen[b.Key].at), cmp.Compare(a.Key, b.Key))
+	})
+	return ripe[:min(len(ripe), max(0, most))]
+}
--- /dev/null
+++ b/internal/duty/keeper.go
@@ -0,0 +1,214 @@
+package duty
+
+import (
+	"maps"
+	"slices"
+
+	"woadweir/internal/core/model"
+)
+
+// Times of a keeper.
+const (
+	acquireStagger  = 500 * model.Millisecond // each further controller of the order waits so much longer
+	cloudFailure    = 10 * model.Second       // without an answer of the cloud
+	maxDoublings    = 5                       // of the pause for which a controller is avoided
+	avoidanceMemory = 10                      // in pauses: later failures count from one again
+)
+
+// Node is a live controller.
+type Node struct {
+	Name    string
+	Session uint64
+	Stamp   uint64       // revision of its key
+	Since   model.Micros // when this process first saw it live
+	// Candidate tells that it may hold duties without being the leader.
+	Candidate bool
+}
+
+// Situation is what a keeper looks at.
+type Situation struct {
+	Now    model.Micros
+	WallMs int64 // time of day
+	Self   string
+	// Session is this process's, 0 if it has none or may not act.
+	Session    uint64
+	Leader     string
+	Overloaded bool
+	// CloudFailingSince is when the cloud began not to answer this process, 0: it
+	// answers, or was not asked.
+	CloudFailingSince model.Micros
+	Nodes             map[string]Node
+	Leases            map[Name]Held
+}
+
+// ActionKind tells what a keeper proposes.
+type ActionKind uint8
+
+// What a keeper proposes.
+const (
+	Acquire ActionKind = iota
+	HandOver
+)
+
+// Action is a write to a duty's lease. It must be guarded by the revision of the lease's
+// key (Token), and a hand-over also by that of the successor's node key.
+type Action struct {
+	Kind  ActionKind
+	Name  Name
+	Token uint64 // 0: the key does not exist
+	Lease Lease
+	// Successor is the controller that a duty is handed over to.
+	Successor Node
+}
+
+// Keeper proposes, for one controller, when to acquire duties and when to hand them over.
+type Keeper struct {
+	policy      *Policy
+	vacantSince map[Name]model.Micros
+	heldSince   map[Name]model.Micros
+	heldToken   map[Name]uint64
+	last        map[Name]Held // the last lease that was seen of each duty
+}
+
+// NewKeeper makes a keeper that holds nothing.
+func NewKeeper(policy *Policy) *Keeper {
+	return &Keeper{policy: policy, vacantSince: map[Name]model.Micros{}, heldSince: map[Name]model.Micros{}, heldToken: map[Name]uint64{}, last: map[Name]Held{}}
+}
+
+// Holds tells whether this controller holds a duty, and under which token.
+func (s *Situation) Holds(name Name) (token uint64, ok bool) {
+	held := s.Leases[name]
+	if held.Token == 0 || s.Session == 0 || held.Holder != s.Self || held.Session != s.Session {
+		return 0, false
+	}
+	return held.Token, true
+}
+
+// Decide proposes the next write, if any is due. At most one is proposed, as its outcome
+// may change what else is to be done.
+func (k *Keeper) Decide(s *Situation) (Action, bool) {
+	var found Action
+	ok := false
+	for _, name := range Movable {
+		k.observe(s, name)
+		if ok {
+			continue
+		}
+		if s.Leases[name].Token == 0 {
+			found, ok = k.acquire(s, name)
+		} else if _, mine := s.Holds(name); mine {
+			found, ok = k.handOver(s, name)
+		}
+	}
+	return found, ok
+}
+
+// observe notes since when a duty is vacant or held.
+func (k *Keeper) observe(s *Situation, name Name) {
+	held := s.Leases[name]
+	if held.Token == 0 {
+		if _, known := k.vacantSince[name]; !known {
+			k.vacantSince[name] = s.Now
+		}
+		return
+	}
+	delete(k.vacantSince, name)
+	k.last[name] = held
+	if k.heldToken[name] != held.Token {
+		k.heldToken[name], k.heldSince[name] = held.Token, s.Now
+	}
+}
+
+// candidates are the live controllers that may hold a duty.
+func (s *Situation) candidates() []string {
+	var names []string
+	for name, node := range s.Nodes {
+		if node.Candidate || name == s.Leader {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// order lists the candidates for a duty; those to be avoided come last.
+func (k *Keeper) order(s *Situation, name Name, avoid map[string]Avoidance) []string {
+	order := k.policy.Order(name, s.candidates(), s.Leader)
+	slices.SortStableFunc(order, func(a, b string) int { return avoided(s, avoid, a) - avoided(s, avoid, b) })
+	return order
+}
+
+func avoided(s *Situation, avoid map[string]Avoidance, node string) int {
+	if s.WallMs < avoid[node].UntilMs {
+		return 1
+	}
+	return 0
+}
+
+// acquire proposes to take a vacant duty when it is this controller's turn.
+func (k *Keeper) acquire(s *Situation, name Name) (Action, bool) {
+	last := k.last[name]
+	rank := slices.Index(k.order(s, name, last.Avoid), s.Self)
+	if s.Session == 0 || rank < 0 || s.Now-k.vacantSince[name] < model.Micros(rank)*acquireStagger {
+		return Action{}, false
+	}
+	lease := Lease{Holder: s.Self, Session: s.Session, SinceMs: s.WallMs, Avoid: k.stillAvoided(s, last.Avoid)}
+	if last.Token != 0 {
+		lease.Previous, lease.PreviousToken, lease.Why = last.Holder, last.Token, ReasonSessionOver
+	}
+	return Action{Kind: Acquire, Name: name, Lease: lease}, true
+}
+
+// handOver proposes to pass a duty on to a controller that can or should hold it.
+func (k *Keeper) handOver(s *Situation, name Name) (Action, bool) {
+	held := s.Leases[name]
+	why := ReasonNone
+	switch {
+	case name.NeedsCloud() && s.CloudFailingSince != 0 && s.Now-max(s.CloudFailingSince, k.heldSince[name]) >= cloudFailure:
+		why = ReasonNoCloud
+	case s.Overloaded:
+		why = ReasonOverloaded
+	}
+	for _, node := range k.order(s, name, held.Avoid) {
+		if avoided(s, held.Avoid, node) != 0 {
+			break
+		}
+		if node == s.Self {
+			if why != ReasonNone {
+				continue
+			}
+			break
+		}
+		settled := s.Now-s.Nodes[node].Since >= k.policy.Settle && s.Now-k.heldSince[name] >= k.policy.Settle
+		if why == ReasonNone && !settled {
+			continue
+		}
+		return k.passTo(s, name, s.Nodes[node], why), true
+	}
+	return Action{}, false
+}
+
+func (k *Keeper) passTo(s *Situation, name Name, successor Node, why Reason) Action {
+	held := s.Leases[name]
+	avoid := k.stillAvoided(s, held.Avoid)
+	if why == ReasonNone {
+		why = ReasonPreferred
+	} else {
+		if avoid == nil {
+			avoid = map[string]Avoidance{}
+		}
+		times := avoid[s.Self].Times + 1
+		pause := k.policy.Cooldown << min(times-1, maxDoublings)
+		avoid[s.Self] = Avoidance{UntilMs: s.WallMs + int64(pause/model.Millisecond), Times: times}
+	}
+	return Action{Kind: HandOver, Name: name, Token: held.Token, Successor: successor,
+		Lease: Lease{Holder: successor.Name, Session: successor.Session, SinceMs: s.WallMs, Previous: s.Self, PreviousToken: held.Token, Why: why, Avoid: avoid}}
+}
+
+// stillAvoided are the avoidances that still matter: those in force, and those so recent
+// that another failure is to be avoided for longer.
+func (k *Keeper) stillAvoided(s *Situation, avoid map[string]Avoidance) map[string]Avoidance {
+	memory := avoidanceMemory * int64(k.policy.Cooldown/model.Millisecond)
+	left := maps.Clone(avoid)
+	maps.DeleteFunc(left, func(_ string, a Avoidance) bool { return s.WallMs > a.UntilMs+memory })
+	return left
+}
--- /dev/null
+++ b/internal/duty/policy.go
@@ -0,0 +1,185 @@
+package duty
+
+import (
+	"encoding/xml"
+	"fmt"
+	"slices"
+	"strings"
+
+	"woadweir/internal/core/model"
+)
+
+// Place tells which controllers are to hold a duty.
+type Place string
+
+// The places of a duty.
+const (
+	PlaceLeader Place = "leader" // the leader, others only if it cannot
+	PlaceSpread Place = "spread" // all controllers, each duty beginning with another one
+	PlaceListed Place = "listed" // as listed, then all others
+)
+
+// DutySettings is what the operators say of one duty.
+type DutySettings struct {
+	Name   string   `xml:"name,attr"`
+	Place  string   `xml:"place,attr"`
+	Prefer []string `xml:"prefer"`
+}
+
+// Settings is the operators' duties file.
+type Settings struct {
+	XMLName       xml.Name       `xml:"duties"`
+	Duties        []DutySettings `xml:"duty"`
+	SettleS       float64        `xml:"settle-s"`
+	CooldownS     float64        `xml:"cooldown-s"`
+	LeaseS        float64        `xml:"lease-s"`
+	TraceEndpoint string         `xml:"trace-endpoint"`
+}
+
+// Defaults and bounds of the duties file.
+const (
+	defaultSettleS   = 30
+	defaultCooldownS = 60
+	mostSettleS      = 3600
+	mostCooldownS    = 3600
+	leastLeaseS      = 2 // a shorter session does not outlive one lost request
+)
+
+// FieldError is a setting that is wrong.
+type FieldError struct{ Field, Reason string }
+
+func (e *FieldError) Error() string { return e.Field + ": " + e.Reason }
+
+// Policy is a checked duties file.
+type Policy struct {
+	Places   map[Name]Place
+	Listed   map[Name][]string
+	Settle   model.Micros // how long a preferred controller has to be live
+	Cooldown model.Micros // how long a controller that failed is avoided
+	Lease    model.Micros // upper bound of the session, 0: none
+	// TraceEndpoint is where spans are sent, "": nowhere.
+	TraceEndpoint string
+}
+
+// LeaderOnly is the policy without a duties file: the leader holds everything.
+func LeaderOnly() *Policy {
+	p := &Policy{Places: map[Name]Place{}, Listed: map[Name][]string{}, Settle: model.Seconds(defaultSettleS), Cooldown: model.Seconds(defaultCooldownS)}
+	for _, name := range Movable {
+		p.Places[name] = PlaceLeader
+	}
+	return p
+}
+
+// ParseSettings reads and checks a duties file. Nodes are the controllers of the
+// deployment, and longest is the longest session that is safe there.
+func ParseSettings(raw []byte, nodes []string, longest model.Micros) (*Policy, error) {
+	s := Settings{SettleS: defaultSettleS, CooldownS: defaultCooldownS}
+	if err := xml.Unmarshal(raw, &s); err != nil {
+		return nil, &FieldError{"duties", err.Error()}
+	}
+	policy := LeaderOnly()
+	policy.TraceEndpoint = strings.TrimSpace(s.TraceEndpoint)
+	if err := s.checkTimes(longest); err != nil {
+		return nil, err
+	}
+	policy.Settle, policy.Cooldown, policy.Lease = model.Seconds(s.SettleS), model.Seconds(s.CooldownS), model.Seconds(s.LeaseS)
+	seen := map[Name]bool{}
+	for i := range s.Duties {
+		d := &s.Duties[i]
+		if err := policy.add(d, nodes); err != nil {
+			return nil, err
+		}
+		if seen[Name(d.Name)] {
+			return nil, &FieldError{"duty " + d.Name, "named twice"}
+		}
+		seen[Name(d.Name)] = true
+	}
+	return policy, nil
+}
+
+func (s *Settings) checkTimes(longest model.Micros) error {
+	switch {
+	case !(s.SettleS >= 1 && s.SettleS <= mostSettleS):
+		return &FieldError{"settle-s", fmt.Sprintf("%v is not between 1 and %v", s.SettleS, mostSettleS)}
+	case !(s.CooldownS >= 1 && s.CooldownS <= mostCooldownS):
+		return &FieldError{"cooldown-s", fmt.Sprintf("%v is not between 1 and %v", s.CooldownS, mostCooldownS)}
+	case s.LeaseS == 0:
+		return nil
+	case !(s.LeaseS >= leastLeaseS):
+		return &FieldError{"lease-s", fmt.Sprintf("%v is shorter than is useful: one lost request would end it; at least %v", s.LeaseS, leastLeaseS)}
+	case model.Seconds(s.LeaseS) > longest:
+		return &FieldError{"lease-s", fmt.Sprintf("%v is longer than is safe with these settings; at most %v", s.LeaseS, longest.Seconds())}
+	}
+	return nil
+}
+
+// add checks what the file says of a duty and takes it into the policy.
+func (p *Policy) add(d *DutySettings, nodes []string) error {
+	field, name := "duty "+d.Name, Name(d.Name)
+	if name == Reclaiming {
+		return &FieldError{field, "stays with the holder of the machines' block and can't be placed"}
+	}
+	if !slices.Contains(Movable, name) {
+		return &FieldError{field, "unknown duty"}
+	}
+	place := Place(d.Place)
+	switch {
+	case place == "" && len(d.Prefer) > 0:
+		place = PlaceListed
+	case place == "":
+		place = PlaceLeader
+	}
+	switch place {
+	case PlaceLeader, PlaceSpread:
+		if len(d.Prefer) > 0 {
+			return &FieldError{field, fmt.Sprintf("place %q names no controllers, but some are preferred", place)}
+		}
+	case PlaceListed:
+		if len(d.Prefer) == 0 {
+			return &FieldError{field, "nobody may hold it: place \"listed\" without a preferred controller"}
+		}
+	default:
+		return &FieldError{field, fmt.Sprintf("unknown place %q", d.Place)}
+	}
+	for i, prefer := range d.Prefer {
+		node := strings.TrimSpace(prefer)
+		if !slices.Contains(nodes, node) {
+			return &FieldError{field, fmt.Sprintf("unknown controller %q", node)}
+		}
+		if slices.Contains(d.Prefer[:i], prefer) {
+			return &FieldError{field, fmt.Sprintf("controller %q is preferred twice", node)}
+		}
+		p.Listed[name] = append(p.Listed[name], node)
+	}
+	p.Places[name] = place
+	return nil
+}
+
+// Order lists the candidates for a duty, the preferred ones first. The leader comes last
+// where it is not preferred, as it has the most to do.
+func (p *Policy) Order(name Name, candidates []string, leader string) []string {
+	all := slices.Clone(candidates)
+	slices.Sort(all)
+	var order []string
+	add := func(node string) {
+		if slices.Contains(candidates, node) && !slices.Contains(order, node) {
+			order = append(order, node)
+		}
+	}
+	switch p.Places[name] {
+	case PlaceListed:
+		for _, node := range p.Listed[name] {
+			add(node)
+		}
+	case PlaceSpread:
+	default:
+		add(leader)
+	}
+	others := slices.DeleteFunc(all, func(node string) bool { return node == leader })
+	turn := slices.Index(Movable, name)
+	for i := range others {
+		add(others[(i+turn)%len(others)])
+	}
+	add(leader)
+	return order
+}
--- /dev/null
+++ b/internal/duty/status.go
@@ -0,0 +1,25 @@
+package duty
+
+import "time"
+
+// Status is what can be told of a duty.
+type Status struct {
+	Name   Name
+	Holder string // "": vacant
+	Token  uint64
+	Since  time.Time
+	// Previous is the holder before, with its token, and Why the reason for which it
+	// lost the duty.
+	Previous      string
+	PreviousToken uint64
+	Why           Reason
+}
+
+// StatusOf describes a lease.
+func StatusOf(name Name, held Held) Status {
+	if held.Token == 0 {
+		return Status{Name: name}
+	}
+	return Status{Name: name, Holder: held.Holder, Token: held.Token, Since: time.UnixMilli(held.SinceMs).UTC(),
+		Previous: held.Previous, PreviousToken: held.PreviousToken, Why: held.Why}
+}
--- /dev/null
+++ b/internal/node/carryout.go
@@ -0,0 +1,198 @@
+package node
+
+import (
+	"errors"
+	"log/slog"
+	"maps"
+	"slices"
+
+	"go.opentelemetry.io/otel/attribute"
+
+	"woadweir/internal/cloud"
+	"woadweir/internal/core/model"
+	"woadweir/internal/duty"
+	"woadweir/internal/state"
+	"woadweir/internal/tracing"
+)
+
+// Limits of the calls by which intents are carried out.
+const (
+	callsAtOnce = 8            // of a duty
+	callRetry   = model.Second // after a call that failed
+)
+
+// intentCall is an open intent that this controller carries out.
+type intentCall struct {
+	stamp   uint64 // the intent's revision
+	name    duty.Name
+	busy    bool         // a request is on its way
+	retryAt model.Micros // after a failure
+	outcome any          // the record to be written, nil: none yet
+	span    tracing.Span
+}
+
+// carryOut sends the requests of open intents under the duties that this controller
+// holds, and forgets what has become of those it holds no more.
+func (d *dutyHolder) carryOut(s *duty.Situation) {
+	v := d.c.view
+	for key, call := range d.calls {
+		_, mine := s.Holds(call.name)
+		if !call.busy && (!mine || v.Stamps[key] != call.stamp) {
+			call.span.End("")
+			delete(d.calls, key)
+		}
+	}
+	if _, mine := s.Holds(duty.Renting); mine {
+		for _, key := range slices.Sorted(maps.Keys(v.Rentals)) {
+			if r := v.Rentals[key]; r.State == duty.Open && d.mayCall(key, duty.Renting) {
+				d.callRent(key, r)
+			}
+		}
+	}
+	if _, mine := s.Holds(duty.Returning); mine {
+		for _, key := range slices.Sorted(maps.Keys(v.Returns)) {
+			if r := v.Returns[key]; r.State == duty.Open && d.mayCall(key, duty.Returning) {
+				d.callDelete(key, r)
+			}
+		}
+	}
+}
+
+// mayCall tells whether the request of an open intent is to be sent now.
+func (d *dutyHolder) mayCall(key string, name duty.Name) bool {
+	if call := d.calls[key]; call != nil {
+		return !call.busy && call.outcome == nil && d.c.now >= call.retryAt
+	}
+	busy := 0
+	for _, call := range d.calls {
+		if call.name == name && call.busy {
+			busy++
+		}
+	}
+	return busy < callsAtOnce
+}
+
+// begin notes that the request of an intent is sent, and gives what it rests on.
+func (d *dutyHolder) begin(key string, name duty.Name, trace string) carryOut {
+	call := d.calls[key]
+	if call == nil {
+		call = &intentCall{stamp: d.c.view.Stamps[key], name: name,
+			span: tracing.Start(trace, "call", attribute.String("duty", string(name)), attribute.String("intent", key), attribute.Int64("token", int64(d.held[name])))}
+		d.calls[key] = call
+	}
+	call.busy = true
+	return carryOut{intent: key, stamp: call.stamp, until: d.c.auth.Ends()}
+}
+
+func (d *dutyHolder) callRent(key string, r *duty.Rental) {
+	rental := cloud.Rental{RequestID: r.Request, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Count: r.Count}
+	d.c.io.rent(msgRented{rental: rental, carryOut: d.begin(key, duty.Renting, r.Trace)})
+}
+
+func (d *dutyHolder) callDelete(key string, r *duty.Return) {
+	d.c.io.remove(msgDeleted{refs: r.Machines, carryOut: d.begin(key, duty.Returning, r.Trace)})
+}
+
+// answered takes the end of a request. It returns the intent's call if an outcome is
+// still to be written.
+func (d *dutyHolder) answered(m carryOut, err error) *intentCall {
+	call := d.calls[m.intent]
+	if call == nil || call.stamp != m.stamp {
+		return nil
+	}
+	call.busy = false
+	switch {
+	case err == nil || errors.Is(err, cloud.ErrNoCapacity):
+		d.cloudFailingSince = 0
+		return call
+	case errors.Is(err, errTooLate):
+		call.retryAt = d.c.now
+	default:
+		slog.Debug("intent", "key", m.intent, "err", err)
+		call.retryAt = d.c.now + callRetry
+		if d.cloudFailingSince == 0 {
+			d.cloudFailingSince = d.c.now
+		}
+	}
+	return nil
+}
+
+func (d *dutyHolder) rented(m msgRented) {
+	call := d.answered(m.carryOut, m.err)
+	r := d.c.view.Rentals[m.intent]
+	if call == nil || r == nil || r.Request != m.rental.RequestID {
+		return
+	}
+	outcome := *r
+	outcome.State, outcome.Machines = duty.Filled, m.machines
+	if m.err != nil {
+		outcome.State, outcome.Machines = duty.Refused, nil
+	}
+	call.outcome = outcome
+}
+
+func (d *dutyHolder) deleted(m msgDeleted) {
+	call := d.answered(m.carryOut, m.err)
+	r := d.c.view.Returns[m.intent]
+	if call == nil || r == nil {
+		return
+	}
+	outcome := *r
+	outcome.State = duty.Gone
+	call.outcome = outcome
+}
+
+// writeOutcomes makes the outcomes of a duty's intents durable, some at a time, under the
+// duty's token. It tells whether it sent a write.
+func (d *dutyHolder) writeOutcomes(s *duty.Situation, name duty.Name) bool {
+	c := d.c
+	token, mine := s.Holds(name)
+	if !mine {
+		return false
+	}
+	txn := &state.Txn{Guards: []state.Guard{{Path: name.Key(), Stamp: token}}}
+	most, waiting, machines := min(c.limits.TxnOps, c.budget.Left(c.now)), 0, 0
+	for _, key := range slices.Sorted(maps.Keys(d.calls)) {
+		call := d.calls[key]
+		if call.name != name || call.outcome == nil || c.view.Stamps[key] != call.stamp {
+			continue
+		}
+		waiting++
+		if len(txn.Then) >= most || machines > maxTxnMachines {
+			continue
+		}
+		outcome := call.outcome
+		switch r := outcome.(type) {
+		case duty.Rental:
+			r.Token = token
+			machines += len(r.Machines)
+			outcome = r
+		case duty.Return:
+			r.Token = token
+			machines += len(r.Machines)
+			outcome = r
+		}
+		txn.Guards = append(txn.Guards, state.Guard{Path: key, Stamp: call.stamp})
+		txn.Then = append(txn.Then, state.Op{Set: key, Value: outcome})
+	}
+	d.noteWaiting(name, waiting, len(txn.Then))
+	if len(txn.Then) == 0 {
+		return false
+	}
+	c.send(laneDuty, msgCommitted{txn: txn, token: token})
+	return true
+}
+
+// noteWaiting reports outcomes that the budget of writes holds up.
+func (d *dutyHolder) noteWaiting(name duty.Name, waiting, sent int) {
+	now := d.c.now
+	switch {
+	case waiting == 0 || sent > 0:
+		d.waitingSince, d.waitingReported = 0, false
+	case d.waitingSince == 0:
+		d.waitingSince = now
+	case !d.waitingReported && now-d.waitingSince > budgetPatience:
+		d.waitingReported = true
+		slog.Info("outcomes wait for the budget of writes", "duty", name, "outcomes", waiting, "s", (now - d.waitingSince).Seconds())
+	}
+}
--- a/internal/node/catchup.go
+++ b/internal/node/catchup.go
@@ -90,6 +90,7 @@
 		}
 		l.resync = false
 	}
+	c.duties.resync = false
 	for _, f := range waiters {
 		f(true)
 	}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -19,6 +19,8 @@
 	laneElect = iota
 	laneHolder
 	laneMisc
+	laneIntent
+	laneDuty
 	laneUsers // the first of userLanes
 	userLanes = 4
 	lanes     = laneUsers + userLanes
@@ -53,21 +55,23 @@
 const denseBelow = 8 << 10
 
 // dense tells whether bundles are to be written in the dense form: values are small,
-// and all controllers read it. A controller that has once had a version with it never
-// comes back with one before, so having seen each once is enough, or what somebody has
-// written who has.
+// and all controllers read it, or somebody has written it who knew that.
 func (c *controller) dense() bool {
-	if c.maxValue() >= denseBelow {
-		return false
-	}
+	return c.maxValue() < denseBelow && (c.allRead(state.LayoutDense) || c.view.Newest >= state.LayoutDense)
+}
+
+// allRead tells whether all controllers read a layout of records. A controller that has
+// once had a version that does never comes back with one before, so having seen each
+// once is enough.
+func (c *controller) allRead(layout int) bool {
 	for name, l := range c.view.Layouts {
 		c.layouts[name] = max(c.layouts[name], l)
 	}
-	all := c.layouts[c.set.NodeName] >= state.Layout
+	all := c.layouts[c.set.NodeName] >= layout
 	for _, s := range c.set.Siblings {
-		all = all && c.layouts[s.NodeName] >= state.Layout
+		all = all && c.layouts[s.NodeName] >= layout
 	}
-	return all || c.view.Newest >= state.Layout
+	return all
 }
 
 // tighten makes what is written smaller, after the state service has refused as too
@@ -136,6 +140,7 @@
 	relayNotBy model.Micros // no report is handed on before
 
 	leading *leadership
+	duties  *dutyHolder
 }
 
 func newController(set *config.Settings, op *config.Operator, spans lead.Spans, clock Clock, io effects) *controller {
@@ -148,6 +153,7 @@
 		syncGap: max(syncLeast, gap), seen: map[string]model.Micros{}, routes: map[string]route{}, layouts: map[string]int{}, view: state.NewView(), wantList: true,
 		wall: func() int64 { return time.Now().UnixMilli() }}
 	c.budget = state.NewBudget(c.writeShare(false))
+	c.duties = newDutyHolder(c, op.Duties)
 	return c
 }
 
@@ -177,6 +183,7 @@
 	c.now = c.clock()
 	switch m := m.(type) {
 	case msgTick:
+		c.duties.ticked()
 	case msgStatusQuery:
 		c.statusQuery(m)
 	case msgSubmit:
@@ -225,6 +232,7 @@
 	if c.leading != nil {
 		c.lead()
 	}
+	c.duties.step()
 }
 
 func (c *controller) send(lane int, m msgCommitted) {
@@ -241,6 +249,8 @@
 		c.elected(m)
 	case m.lane >= laneUsers:
 		c.usersCommitted(m)
+	case m.lane == laneDuty:
+		c.duties.committed(m)
 	default:
 		if c.leading != nil && c.leading.token == m.token {
 			c.leading.committed(m)
--- /dev/null
+++ b/internal/node/duties_test.go
@@ -0,0 +1,466 @@
+package node
+
+import (
+	"encoding/json"
+	"flag"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"woadweir/internal/config"
+	"woadweir/internal/core/model"
+	"woadweir/internal/duty"
+	"woadweir/internal/standin"
+	"woadweir/internal/state"
+)
+
+const spreadDuties = `<duties><duty name="renting" place="spread"/><duty name="returning" place="spread"/><duty name="cleanup" place="spread"/>
+	<settle-s>20</settle-s><cooldown-s>40</cooldown-s></duties>`
+
+const leaderDuties = `<duties/>`
+
+func simPolicy(t *testing.T, file string) func(string) *duty.Policy {
+	return func(string) *duty.Policy {
+		p, err := duty.ParseSettings([]byte(file), []string{"node-0", "node-1", "node-2"}, 60*model.Second)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+}
+
+// newDutyWorld is a small deployment with a duties file, whose stand-ins keep logs.
+func newDutyWorld(t *testing.T, seed uint64, file string) *world {
+	w := newWorld(t, seed)
+	w.state.KeepLog = true
+	w.policy = simPolicy(t, file)
+	for _, n := range w.nodes {
+		n.crash()
+		n.start()
+	}
+	return w
+}
+
+// holderOf is the node that the state service's records name for a duty.
+func (w *world) holderOf(name duty.Name) *simNode {
+	e, err := w.state.Get("", name.Key())
+	if err != nil {
+		return nil
+	}
+	var lease duty.Lease
+	if err := json.Unmarshal(e.Value, &lease); err != nil {
+		panic(err)
+	}
+	return w.nodes[slices.Index(w.Nodes(), lease.Holder)]
+}
+
+// dutyHistory judges the logs of the stand-ins.
+func (w *world) dutyHistory() []string {
+	return standin.CheckDuties(w.state.Log, w.cloud.Calls).Broken
+}
+
+func (w *world) checkDuties() {
+	w.t.Helper()
+	w.check()
+	if broken := w.dutyHistory(); len(broken) > 0 {
+		w.t.Fatalf("%d violations: %v", len(broken), broken[:min(5, len(broken))])
+	}
+}
+
+// rejected counts the rejected writes of a node that were guarded by a key with that
+// prefix which failed.
+func (w *world) rejected(node, prefix string) (n int) {
+	for _, write := range w.state.Log {
+		if write.Node == node && slices.ContainsFunc(write.Rejected, func(key string) bool { return strings.HasPrefix(key, prefix) }) {
+			n++
+		}
+	}
+	return n
+}
+
+// somework keeps machines being rented and returned.
+func (w *world) somework(jobs int, every model.Micros) {
+	for i := range jobs {
+		w.At(w.Now+model.Micros(i)*every, func() { w.submit(sweepJob(i, 6, 6), 0) })
+	}
+}
+
+// endAll lets time pass until every accepted job has ended.
+func (w *world) endAll(until model.Micros) {
+	w.t.Helper()
+	w.Run(until)
+	for ref := range w.rules.Accepted {
+		if w.rules.Ended(ref) == "" {
+			w.t.Errorf("%s never ended; %s", ref, w.describe())
+		}
+	}
+	if len(w.rules.Accepted) == 0 {
+		w.t.Error("nothing was accepted")
+	}
+}
+
+// Duties that are spread are held by others than the leader, work runs, machines come
+// and go, and the cloud hears of them from the holders alone.
+func TestDutiesSpread(t *testing.T) {
+	w := newDutyWorld(t, 5, spreadDuties)
+	w.somework(8, 15*model.Second)
+	w.Run(60 * model.Second)
+	for _, name := range []duty.Name{duty.Renting, duty.Returning} {
+		if h := w.holderOf(name); h == nil || h == w.leader() {
+			t.Errorf("%s is at %v", name, h)
+		}
+	}
+	w.endAll(400 * model.Second)
+	w.checkDuties()
+	if n := w.cloud.Rented(); n > 3 {
+		t.Errorf("%d machines are still rented", n)
+	}
+	if len(w.cloud.Calls) < 4 {
+		t.Errorf("%d calls of the cloud", len(w.cloud.Calls))
+	}
+}
+
+// Without the file nothing of duties is written by any controller.
+func TestNoDutiesFile(t *testing.T) {
+	w := newWorld(t, 5)
+	w.state.KeepLog = true
+	w.somework(4, 10*model.Second)
+	w.Run(200 * model.Second)
+	w.check()
+	for _, write := range w.state.Log {
+		raw, err := json.Marshal(write.Txn)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, word := range []string{`"duty/`, `"intent/`, `"duties"`, `"drop"`} {
+			if strings.Contains(string(raw), word) {
+				t.Fatalf("%s in %s", word, raw)
+			}
+		}
+	}
+}
+
+// A holder that stands still past its lease, at whichever point, and goes on: its writes
+// are refused by the state service, and nothing is rented or returned that was not
+// decided once.
+func TestHolderPausedPastItsLease(t *testing.T) {
+	for point := beforeLease; point < pausePoints; point++ {
+		for seed := range uint64(4) {
+			w := newDutyWorld(t, 100+seed, spreadDuties)
+			w.somework(30, 4*model.Second)
+			w.Run(50 * model.Second)
+			var paused *simNode
+			for _, n := range w.nodes {
+				n.pauseAt = func(at pausePoint) bool {
+					if at != point || paused != nil {
+						return false
+					}
+					paused = n
+					n.resumeAfter(40 * model.Second)
+					return true
+				}
+			}
+			if point == beforeHandOver || point == beforeLease || point == leaseAnswer {
+				// Something has to change hands.
+				w.At(70*model.Second, func() { w.holderOf(duty.Renting).noCloud = true })
+				w.At(75*model.Second, func() { w.holderOf(duty.Returning).crash() })
+			}
+			w.Run(140 * model.Second)
+			if paused == nil && point != beforeRemoval {
+				t.Errorf("point %d, seed %d: nobody came there", point, seed)
+			}
+			for _, n := range w.nodes {
+				n.noCloud = false
+				if !n.alive {
+					n.start()
+				}
+			}
+			w.endAll(420 * model.Second)
+			w.checkDuties()
+			if prefix := guardAt(point); paused != nil && prefix != "" && w.rejected(paused.name, prefix) == 0 {
+				t.Errorf("point %d, seed %d: no write of %s was rejected for %s", point, seed, paused.name, prefix)
+			}
+		}
+	}
+}
+
+// guardAt is what refuses the write that a process sends on waking, "" if it has none to
+// send.
+func guardAt(point pausePoint) string {
+	switch point {
+	case beforeIntent:
+		return "grant/"
+	case beforeRentOutcome, beforeReturnOutcome, beforeHandOver:
+		return duty.KeyPrefix
+	}
+	return ""
+}
+
+// A holder that the cloud does not answer hands over, and says why; it does not get the
+// duty back while it is avoided. When the cloud answers nobody, the duty stays.
+func TestHolderWithoutCloud(t *testing.T) {
+	w := newDutyWorld(t, 7, spreadDuties)
+	w.somework(30, 5*model.Second)
+	w.Run(60 * model.Second)
+	first := w.holderOf(duty.Renting)
+	first.noCloud = true
+	w.Run(95 * model.Second)
+	second := w.holderOf(duty.Renting)
+	if second == first {
+		t.Fatal("the duty stays with a holder that can't perform it")
+	}
+	if lease := second.ctl.view.Duties[duty.Renting]; lease.Why != duty.ReasonNoCloud || lease.Previous != first.name {
+		t.Errorf("lease %+v", lease)
+	}
+	first.noCloud = false
+	w.Run(110 * model.Second)
+	if w.holderOf(duty.Renting) == first {
+		t.Error("the duty came back at once")
+	}
+	for _, n := range w.nodes {
+		n.noCloud = true
+	}
+	moves := w.leaseWrites(duty.Renting)
+	w.Run(150 * model.Second)
+	if more := w.leaseWrites(duty.Renting) - moves; more > 2 {
+		t.Errorf("%d moves while the cloud answers nobody", more)
+	}
+	for _, n := range w.nodes {
+		n.noCloud = false
+	}
+	w.endAll(500 * model.Second)
+	w.checkDuties()
+}
+
+// leaseWrites counts the accepted writes of a duty's lease.
+func (w *world) leaseWrites(name duty.Name) (n int) {
+	for _, write := range w.state.Log {
+		for _, op := range write.Txn.Then {
+			if op.Set == name.Key() && len(write.Rejected) == 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// A holder that loses the state service stands down by itself; another takes the duty,
+// and the former one comes back without taking what has moved.
+func TestHolderWithoutStateService(t *testing.T) {
+	for _, kind := range []int{dropped, refused} {
+		w := newDutyWorld(t, 8, spreadDuties)
+		w.somework(20, 8*model.Second)
+		w.Run(60 * model.Second)
+		first := w.holderOf(duty.Renting)
+		token := first.ctl.duties.held[duty.Renting]
+		first.setCut(kind)
+		w.Run(85 * model.Second)
+		if n := len(first.ctl.duties.held); n != 0 {
+			t.Errorf("cut %d: it still holds %d duties", kind, n)
+		}
+		second := w.holderOf(duty.Renting)
+		if second == nil || second == first {
+			t.Fatalf("cut %d: nobody took over", kind)
+		}
+		first.setCut(open)
+		w.Run(88 * model.Second)
+		if w.holderOf(duty.Renting) != second || first.ctl.duties.held[duty.Renting] != 0 {
+			t.Errorf("cut %d: the duty came back at once", kind)
+		}
+		w.endAll(420 * model.Second)
+		w.checkDuties()
+		if now := w.holderOf(duty.Renting).ctl.duties.held[duty.Renting]; now <= token {
+			t.Errorf("cut %d: token %d after %d", kind, now, token)
+		}
+	}
+}
+
+// While any controller may run the version in production, the leader does everything
+// itself and no record of duties is written; once none does, duties spread.
+func TestDutiesWaitForEveryController(t *testing.T) {
+	w := newDutyWorld(t, 9, spreadDuties)
+	w2 := newWorld(t, 9)
+	w2.state.KeepLog = true
+	w2.policy = w.policy
+	for i, n := range w2.nodes {
+		n.crash()
+		n.old = i == 2
+		n.start()
+	}
+	w2.somework(20, 10*model.Second)
+	w2.Run(100 * model.Second)
+	if n := w2.state.Keys("duty/") + w2.state.Keys("intent/"); n > 0 {
+		t.Errorf("%d records of duties beside production", n)
+	}
+	if len(w2.cloud.Calls) == 0 {
+		t.Error("nothing was rented beside production")
+	}
+	n := w2.nodes[2]
+	n.crash()
+	n.old = false
+	n.start()
+	w2.Run(160 * model.Second)
+	if w2.state.Keys("duty/") != len(duty.Movable) {
+		t.Errorf("%d duties are held once all are upgraded", w2.state.Keys("duty/"))
+	}
+	w2.endAll(500 * model.Second)
+	w2.check()
+}
+
+// All controllers end at once, in the middle of renting: what was decided is carried out
+// once, by whoever comes back.
+func TestAllControllersEndWhileRenting(t *testing.T) {
+	for seed := range uint64(6) {
+		w := newDutyWorld(t, 20+seed, spreadDuties)
+		w.somework(12, 6*model.Second)
+		w.Run(40*model.Second + model.Micros(seed)*700*model.Millisecond)
+		for i, n := range w.nodes {
+			n.crash()
+			w.After(model.Micros(i)*900*model.Millisecond+w.Between(50*model.Millisecond, 2*model.Second), n.start)
+		}
+		w.endAll(360 * model.Second)
+		w.checkDuties()
+	}
+}
+
+// A leader that starts without the file where duties are in use goes on through intents.
+func TestLeaderWithoutTheFileRespectsRecords(t *testing.T) {
+	w := newDutyWorld(t, 11, spreadDuties)
+	w.somework(14, 8*model.Second)
+	w.Run(50 * model.Second)
+	w.policy = nil
+	for i, n := range w.nodes {
+		w.After(model.Micros(i)*20*model.Second, func() { n.crash(); n.start() })
+	}
+	w.endAll(400 * model.Second)
+	w.checkDuties()
+	if h := w.holderOf(duty.Renting); h == nil || h != w.leader() {
+		t.Error("without the file the leader holds the duties")
+	}
+}
+
+// The cleaner removes bundles of which nothing counts, under its token, and a late
+// removal does not touch what has been written since.
+func TestCleanup(t *testing.T) {
+	w := newDutyWorld(t, 12, spreadDuties)
+	w.settings = func(name string) *config.Settings {
+		s := simSettings(name)
+		s.Params.State.ValueKB = 1
+		return s
+	}
+	for _, n := range w.nodes {
+		n.crash()
+		n.start()
+	}
+	w.somework(30, 2*model.Second)
+	w.Run(100 * model.Second)
+	most := w.state.Keys("bound/")
+	var held func()
+	for _, n := range w.nodes {
+		n.intercept = func(m msgCommitted) bool {
+			if held != nil || pointOf(m) != beforeRemoval {
+				return false
+			}
+			late := *m.txn
+			held = func() {
+				res, err := w.state.Commit(n.name, &late)
+				if err != nil || res.OK {
+					t.Errorf("a late removal was carried out: %+v, %v", res, err)
+				}
+			}
+			w.After(10*model.Millisecond, func() { n.deliver(n.life, msgCommitted{lane: m.lane, txn: m.txn, token: m.token, err: state.ErrLost}) })
+			return true
+		}
+	}
+	w.Run(700 * model.Second)
+	if held == nil {
+		t.Fatalf("nothing was removed; %d bundles", most)
+	}
+	if left := w.state.Keys("bound/"); left >= most {
+		t.Errorf("%d bundles at the most, %d are left", most, left)
+	}
+	held()
+	w.somework(10, model.Second)
+	w.endAll(900 * model.Second)
+	w.checkDuties()
+}
+
+// Random pauses, cuts, copies, repeats and ends: no write of a duty is accepted from two
+// holders, nothing is rented or returned that was not decided, and no rule is broken.
+func TestDutiesUnderRandomFailures(t *testing.T) {
+	checks := flag.Lookup("rapid.checks")
+	before := checks.Value.String()
+	if before == checks.DefValue {
+		if err := flag.Set("rapid.checks", "300"); err != nil {
+			t.Fatal(err)
+		}
+		defer func() {
+			if err := flag.Set("rapid.checks", before); err != nil {
+				t.Fatal(err)
+			}
+		}()
+	}
+	held := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newDutyWorld(t, rapid.Uint64().Draw(rt, "seed"), rapid.SampledFrom([]string{spreadDuties, leaderDuties}).Draw(rt, "file"))
+		const calm = 110 * model.Second
+		w.somework(rapid.IntRange(4, 12).Draw(rt, "jobs"), w.Between(model.Second, 8*model.Second))
+		w.copies = rapid.SampledFrom([]float64{0, 0.1}).Draw(rt, "copies")
+		w.repeats = rapid.SampledFrom([]float64{0, 0.05, 0.3}).Draw(rt, "repeats")
+		for range rapid.IntRange(1, 6).Draw(rt, "faults") {
+			kind := rapid.IntRange(0, faultKinds-1).Draw(rt, "kind")
+			long := w.Between(model.Second, 30*model.Second)
+			w.At(w.Between(5*model.Second, calm-30*model.Second), func() { fault(w, kind, long) })
+		}
+		for range rapid.IntRange(1, 4).Draw(rt, "pauses") {
+			point := pausePoint(rapid.IntRange(0, int(pausePoints)-1).Draw(rt, "point"))
+			long := w.Between(2*model.Second, 45*model.Second)
+			n := w.nodes[rapid.IntRange(0, 2).Draw(rt, "node")]
+			w.At(w.Between(8*model.Second, calm-50*model.Second), func() { n.pauseAtNext(point, long) })
+		}
+		if rapid.Bool().Draw(rt, "no cloud") {
+			n := w.nodes[rapid.IntRange(0, 2).Draw(rt, "without cloud")]
+			w.At(w.Between(10*model.Second, 60*model.Second), func() { n.noCloud = true })
+		}
+		w.At(calm, func() {
+			(&meeting{world: w}).calm()
+			for _, n := range w.nodes {
+				n.noCloud, n.pauseAt = false, nil
+			}
+		})
+		w.Run(330 * model.Second)
+		w.rules.Check()
+		if broken := append(w.rules.Broken, w.dutyHistory()...); len(broken) > 0 {
+			rt.Fatalf("%d violations: %v", len(broken), broken[:min(4, len(broken))])
+		}
+		for ref := range w.rules.Accepted {
+			if w.rules.Ended(ref) == "" {
+				rt.Fatalf("%s never ended; %s", ref, w.describe())
+			}
+		}
+		held += w.state.Keys("duty/")
+	})
+	if held == 0 {
+		t.Error("no duty was ever held")
+	}
+}
+
+// pauseAtNext has the process stand still when it next comes to a point; at no point: now.
+func (n *simNode) pauseAtNext(point pausePoint, long model.Micros) {
+	switch {
+	case !n.alive || n.paused:
+	case point == nowhere:
+		n.pauseFor(long)
+	default:
+		n.pauseAt = func(at pausePoint) bool {
+			if at != point {
+				return false
+			}
+			n.pauseAt = nil
+			n.resumeAfter(long)
+			return true
+		}
+	}
+}
--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -44,11 +44,16 @@
 		Guards: []state.Guard{{Path: "leader", Stamp: c.view.Stamps["leader"]}, {Path: grant, Stamp: c.view.Stamps[grant]}},
 		Then:   []state.Op{{Set: grant, Value: rec}}}
 	if !ours {
-		t.Then = append(t.Then, state.Op{Set: "leader", Value: state.LeaderRecord{Node: c.set.NodeName, Session: c.session}, Tenancy: c.session})
+		t.Then = append(t.Then, state.Op{Set: "leader", Value: c.leaderRecord(), Tenancy: c.session})
 	}
 	c.send(laneElect, msgCommitted{txn: t, token: c.session})
 }
 
+// leaderRecord is what this controller writes as the leader.
+func (c *controller) leaderRecord() state.LeaderRecord {
+	return state.LeaderRecord{Node: c.set.NodeName, Session: c.session, Duties: c.duties.wanted()}
+}
+
 // credit is each team's whole limit: the one holder has it all.
 func (c *controller) credit() map[string]model.Resources {
 	m := map[string]model.Resources{}
@@ -72,9 +77,7 @@
 		// The session it was won with is over, and the key with it.
 		return
 	}
-	for _, op := range m.txn.Then {
-		c.view.Put(op.Set, op.Value, m.res.Epoch)
-	}
+	c.view.Apply(m.txn, m.res.Epoch)
 	slog.Info("leader", "token", m.res.Epoch)
 	c.setShare(true)
 	c.leading = newLeadership(c, m.res.Epoch)
--- a/internal/node/io.go
+++ b/internal/node/io.go
@@ -24,7 +24,7 @@
 	flavors()
 	list()
 	rent(m msgRented)
-	remove(refs []string, term uint64)
+	remove(m msgDeleted)
 	ping()
 	// resign has a session ended, by a sibling if one is named.
 	resign(session uint64, helper string)
@@ -96,13 +96,25 @@
 	}()
 }
 
+// errTooLate means that a call was not sent, as its authority was over.
+var errTooLate = errors.New("the authority for this call is over")
+
+// tooLate tells that a call must not be sent any more.
+func (io *inputOutput) tooLate(call carryOut) bool {
+	return call.intent != "" && io.clock() >= call.until
+}
+
 // rent repeats a request without an answer under its own name, which rents
-// nothing twice.
+// nothing twice. Whoever carries an intent out repeats it himself.
 func (io *inputOutput) rent(m msgRented) {
 	go func() {
 		for attempt := 0; ; attempt++ {
+			if io.tooLate(m.carryOut) {
+				m.err = errTooLate
+				break
+			}
 			m.machines, m.err = io.cloud.Rent(&m.rental, cloudPatience)
-			if m.err == nil || errors.Is(m.err, cloud.ErrNoCapacity) || attempt == 4 {
+			if m.err == nil || errors.Is(m.err, cloud.ErrNoCapacity) || attempt == 4 || m.intent != "" {
 				break
 			}
 			if !pause(io.ctx, model.Second) {
@@ -113,8 +125,13 @@
 	}()
 }
 
-func (io *inputOutput) remove(refs []string, term uint64) {
-	go func() { io.send(msgDeleted{refs, io.cloud.Delete(refs, cloudPatience), term}) }()
+func (io *inputOutput) remove(m msgDeleted) {
+	go func() {
+		if m.err = errTooLate; !io.tooLate(m.carryOut) {
+			m.err = io.cloud.Delete(m.refs, cloudPatience)
+		}
+		io.send(m)
+	}()
 }
 
 func (io *inputOutput) ping() {
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -65,15 +65,16 @@
 	preemptAt, preemptGap                    model.Micros // the same for those that may preempt
 	machineTypesBusy, listBusy               bool
 	machineTypesKnown                        bool
-	pendingDeletions                         map[string]model.Micros // when the deletion was sent, 0: to be sent
+	pendingDeletions                         map[string]model.Micros // when it is to be sent, see deletionSent
 	seenLists                                int
+	intents                                  intentLog
 }
 
 func newLeadership(c *controller, token uint64) *leadership {
 	p := slack.Defaults()
 	p.ExtraCapacityRate, p.Granularity, p.RefusedPause = float64(c.op.ExtraCapacityRate), int(c.op.Granularity), model.Seconds(float64(c.op.RefusedPauseS))
 	return &leadership{c: c, token: token, provisioner: slack.New(p), pendingRentals: map[string]cloud.Rental{}, recentSizes: map[taskSize]model.Micros{},
-		deletedMachines: map[string]model.Micros{}, missingFromLists: map[string]int{}, pendingDeletions: map[string]model.Micros{}}
+		deletedMachines: map[string]model.Micros{}, missingFromLists: map[string]int{}, pendingDeletions: map[string]model.Micros{}, intents: newIntentLog()}
 }
 
 // takeOver builds the holder from a view that has everything that former
@@ -107,6 +108,7 @@
 		l.block.LoadSlot(k, names[i])
 	}
 	l.block.StopSuperseded()
+	l.takeOverIntents()
 	l.ready = true
 	slog.Info("took over", "token", l.token, "machines", len(l.block.Machines), "jobs", len(l.block.Jobs))
 }
@@ -164,8 +166,10 @@
 		l.block.Tick(c.now)
 		l.returnUselessMachines()
 	}
+	l.takeOutcomes()
 	l.place()
 	l.writeBindings()
+	l.writeIntents()
 	l.answerPending(false)
 	if !l.machineTypesBusy && (l.machineTypesAt == 0 || c.now-l.machineTypesAt > machineTypesGap || !l.machineTypesKnown && c.now-l.machineTypesAt > model.Second) {
 		l.machineTypesAt, l.machineTypesBusy = c.now, true
@@ -211,13 +215,15 @@
 
 func (l *leadership) committed(m msgCommitted) {
 	c := l.c
-	if m.lane == laneMisc {
+	switch m.lane {
+	case laneMisc:
 		if m.err == nil && m.res.OK {
-			for _, op := range m.txn.Then {
-				c.view.Put(op.Set, op.Value, m.res.Epoch)
-			}
+			c.view.Apply(m.txn, m.res.Epoch)
 		}
 		return
+	case laneIntent:
+		l.intentsCommitted(m)
+		return
 	}
 	switch {
 	case m.err != nil:
@@ -237,9 +243,7 @@
 		}
 		c.pauses[laneHolder] = c.now + 100*model.Millisecond
 	case m.res.OK:
-		for _, op := range m.txn.Then {
-			c.view.Put(op.Set, op.Value, m.res.Epoch)
-		}
+		c.view.Apply(m.txn, m.res.Epoch)
 		l.block.Committed(m.writes, c.now)
 	default:
 		slog.Info("conflict", "keys", m.res.Failed)
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -76,11 +76,13 @@
 		machines []string
 		err      error
 		term     uint64
+		carryOut
 	}
 	msgDeleted struct {
 		refs []string
 		err  error
 		term uint64
+		carryOut
 	}
 	msgTick struct{}
 	// msgPinged tells which siblings answer, and which of them reach the state
@@ -116,3 +118,12 @@
 	reply  []chan<- userapi.Answer
 	expiry model.Micros
 }
+
+// carryOut marks a call of the cloud that carries an intent out.
+type carryOut struct {
+	intent string // its key, "": none
+	stamp  uint64 // its revision
+	// until is when the call must not be sent any more: the authority that it rests on
+	// is over then.
+	until model.Micros
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,10 +16,10 @@
 	"woadweir/internal/cloud"
 	"woadweir/internal/config"
 	"woadweir/internal/core/block"
-	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
 	"woadweir/internal/peer"
 	"woadweir/internal/state"
+	"woadweir/internal/tracing"
 	"woadweir/internal/userapi"
 	"woadweir/internal/workerapi"
 )
@@ -40,10 +40,16 @@
 	if err != nil {
 		return err
 	}
-	w := set.Params.Workers
-	spans := lead.Settle(model.Seconds(float64(op.BlockLeaseS)), model.Seconds(w.LeaseS), model.Seconds(w.ReportS), model.Seconds(w.CancelS))
+	spans := set.Spans(op)
 	slog.Info("start", "node", set.NodeName, "session_s", spans.TTL.Seconds())
 
+	if op.Duties != nil && op.Duties.TraceEndpoint != "" {
+		shutdown, err := tracing.Setup(ctx, op.Duties.TraceEndpoint, set.NodeName)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = shutdown(context.WithoutCancel(ctx)) }() // what is not sent by now is lost
+	}
 	g, ctx := errgroup.WithContext(ctx)
 	mail := make(chan any, 4096)
 	st := state.NewClient(set.Services.State)
@@ -66,7 +72,7 @@
 		abandon: abandon}
 	c := newController(set, op, spans, clock, io)
 	g.Go(func() error { return c.run(ctx, mail) })
-	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL, abandon: abandon}
+	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL, duties: op.Duties != nil, abandon: abandon}
 	g.Go(func() error { return ses.run(ctx) })
 	g.Go(func() error { return tick(ctx, mail) })
 	srv := &fasthttp.Server{Handler: f.serve, Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
--- a/internal/node/provisioning.go
+++ b/internal/node/provisioning.go
@@ -8,6 +8,7 @@
 	"woadweir/internal/cloud"
 	"woadweir/internal/core/model"
 	"woadweir/internal/core/slack"
+	"woadweir/internal/duty"
 	"woadweir/internal/state"
 )
 
@@ -99,6 +100,10 @@
 
 func (c *controller) rented(m msgRented) {
 	l := c.leading
+	if m.intent != "" {
+		c.duties.rented(m)
+		return
+	}
 	if l == nil || l.token != m.term {
 		return
 	}
@@ -126,6 +131,10 @@
 
 func (c *controller) deleted(m msgDeleted) {
 	l := c.leading
+	if m.intent != "" {
+		c.duties.deleted(m)
+		return
+	}
 	if l == nil || l.token != m.term {
 		return
 	}
@@ -138,14 +147,19 @@
 	}
 	l.cloudGood = c.now
 	for _, ref := range m.refs {
-		delete(l.pendingDeletions, ref)
-		l.deletedMachines[ref] = c.now
-		l.block.MachineDeleted(ref, "deleted", c.now)
-		slog.Info("deleted", "machine", ref)
+		l.machineGone(ref)
 	}
 	l.provisionSoon = true
 }
 
+// machineGone takes note of a confirmed deletion.
+func (l *leadership) machineGone(machine string) {
+	delete(l.pendingDeletions, machine)
+	l.deletedMachines[machine] = l.c.now
+	l.block.MachineDeleted(machine, "deleted", l.c.now)
+	slog.Info("deleted", "machine", machine)
+}
+
 // cloudOK tells whether the cloud answered last.
 func (l *leadership) cloudOK() bool { return l.cloudGood > l.cloudBad }
 
@@ -207,7 +221,7 @@
 		}
 	}
 	for ref, at := range l.deletedMachines {
-		if c.now-at > forgetMachine {
+		if _, returning := l.pendingDeletions[ref]; !returning && c.now-at > forgetMachine {
 			delete(l.deletedMachines, ref)
 		}
 	}
@@ -222,12 +236,19 @@
 	}
 	if len(refs) > 0 {
 		for _, ref := range refs {
-			l.pendingDeletions[ref] = -1 // on its way
+			l.pendingDeletions[ref] = deletionSent
+		}
+		if c.actsThroughIntents() {
+			l.decideReturn(refs)
+			return
 		}
-		c.io.remove(refs, l.token)
+		c.io.remove(msgDeleted{refs: refs, term: l.token})
 	}
 }
 
+// deletionSent stands in pendingDeletions for a deletion that is on its way.
+const deletionSent model.Micros = -1
+
 // rentLoop is a round of the renting loop.
 func (l *leadership) provision() {
 	c := l.c
@@ -292,14 +313,7 @@
 	}
 	if l.cloudOK() || c.now-l.cloudBad > 2*model.Second {
 		for _, r := range out.Rent {
-			l.rentalCount++
-			// The token is this leader's alone, so no other process ever makes the
-			// same name.
-			hire := fmt.Sprintf("w%d-%d", l.token, l.rentalCount)
-			rental := cloud.Rental{RequestID: hire, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Count: r.Count}
-			l.pendingRentals[hire] = rental
-			slog.Info("rent", "request", hire, "type", r.MachineType, "zone", r.Zone, "spot", r.Spot, "count", r.Count, "unplaced", out.Unplaced)
-			c.io.rent(msgRented{rental: rental, offer: slack.Offer{MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot}, term: l.token})
+			l.rent(r, out.Unplaced)
 		}
 	}
 	for _, h := range out.GiveBack {
@@ -312,3 +326,22 @@
 		l.provisionSoon = true
 	}
 }
+
+// rent asks for machines, or has them asked for.
+func (l *leadership) rent(r slack.Rental, unplaced int) {
+	throughIntents := l.c.actsThroughIntents()
+	most := r.Count
+	if throughIntents {
+		most = duty.RentAtMost(l.c.maxValue())
+	}
+	for left := r.Count; left > 0; left -= most {
+		rental := cloud.Rental{RequestID: l.rentalName(), MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Count: min(left, most)}
+		l.pendingRentals[rental.RequestID] = rental
+		slog.Info("rent", "request", rental.RequestID, "type", r.MachineType, "zone", r.Zone, "spot", r.Spot, "count", rental.Count, "unplaced", unplaced)
+		if throughIntents {
+			l.decideRental(rental)
+			continue
+		}
+		l.c.io.rent(msgRented{rental: rental, offer: slack.Offer{MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot}, term: l.token})
+	}
+}
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -21,6 +21,8 @@
 	name  string
 	serve string
 	ttl   model.Micros
+	// duties tells that this process may hold duties without leading.
+	duties bool
 	// abandon takes sessions that are to be ended instead of renewed.
 	abandon chan uint64
 }
@@ -93,7 +95,7 @@
 	case lead.CallPut:
 		var res *state.Result
 		res, err = s.state.Commit(&state.Txn{Guards: []state.Guard{{Path: key, Stamp: call.Stamp}},
-			Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID, Serve: s.serve, Layout: state.Layout}, Tenancy: call.ID}}}, patience)
+			Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID, Serve: s.serve, Layout: state.Layout, Duties: s.duties}, Tenancy: call.ID}}}, patience)
 		if err == nil && !res.OK {
 			r.Outcome = lead.Conflict
 		}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -14,6 +14,7 @@
 	"woadweir/internal/core/block"
 	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
+	"woadweir/internal/duty"
 	"woadweir/internal/standin"
 	"woadweir/internal/state"
 	"woadweir/internal/userapi"
@@ -62,6 +63,10 @@
 	pending []func() bool
 	abandon uint64 // a session that the session actor is to end
 	old     bool   // it runs the version in production, see upgrade_test.go
+	noCloud bool   // its rentals and deletions are refused
+	paused  bool   // the process stands still, see pause_test.go
+	waiting []func()
+	pauseAt func(pausePoint) bool // tells whether the process stops there
 	// intercept takes a transaction away if it returns true.
 	intercept func(msgCommitted) bool
 }
@@ -77,6 +82,7 @@
 	users []*user
 	// settings are read by a node whenever it starts.
 	settings func(name string) *config.Settings
+	policy   func(name string) *duty.Policy // the duties file, nil: none
 
 	cut     map[string]bool   // machines whose reports wait until the cut ends
 	late    []func(*simNode)  // these reports, to be delivered to a node, or to the one they were sent to (nil)
@@ -277,6 +283,7 @@
 
 func (n *simNode) start() {
 	n.alive, n.life, n.pending = true, n.life+1, nil
+	n.paused, n.waiting = false, nil
 	n.set = n.w.settings(n.name)
 	if n.old {
 		n.set.Params.State.Next = simSettings("").Params.State.Next // which it does not know
@@ -284,7 +291,11 @@
 	spans := lead.Settle(30*model.Second, model.Seconds(n.set.Params.Workers.LeaseS), model.Seconds(n.set.Params.Workers.ReportS), model.Seconds(n.set.Params.Workers.CancelS))
 	base := n.w.Now
 	clock := func() model.Micros { return n.w.Now - base + 1 }
-	n.ctl = newController(n.set, config.DefaultOperator(), spans, clock, n)
+	op := config.DefaultOperator()
+	if n.w.policy != nil && !n.old {
+		op.Duties = n.w.policy(n.name)
+	}
+	n.ctl = newController(n.set, op, spans, clock, n)
 	n.ctl.wall = func() int64 { return int64(n.w.Now / 1000) }
 	n.ses = lead.NewSession(spans.TTL)
 	n.tick(n.life)
@@ -299,14 +310,16 @@
 	if !n.alive || n.life != life {
 		return
 	}
-	n.ask(msgTick{}, nil)
+	if !n.paused { // ticks that nobody takes are dropped
+		n.ask(msgTick{}, nil)
+	}
 	n.w.After(50*model.Millisecond, func() { n.tick(life) })
 }
 
 // ask hands a message to the actor; check is called until it says that the
 // answer has come.
 func (n *simNode) ask(m any, check func() bool) {
-	if !n.alive {
+	if !n.alive || n.stopped(func() { n.ask(m, check) }) {
 		return
 	}
 	if check != nil {
@@ -319,58 +332,60 @@
 
 func (n *simNode) session(life int) {
 	call := n.ses.Next()
-	n.w.After(call.After+1, func() {
-		if !n.alive || n.life != life {
-			return
-		}
-		if n.abandon != 0 {
-			n.ses.Abandon(n.abandon)
-			n.abandon = 0
-			n.session(life)
-			return
-		}
-		n.ses.Sending(n.ctl.clock())
-		var r lead.Reply
-		key := "node/" + n.name
-		do := func() (res *state.Result) {
-			err := error(nil)
-			switch call.Kind {
-			case lead.CallRead:
-				var e *state.Entry
-				if e, err = n.w.state.Get(n.name, key); err == nil {
-					r.Stamp, r.ID = e.Stamp, e.Tenancy
-				}
-			case lead.CallEnd:
-				err = n.w.state.End(n.name, call.ID)
-			case lead.CallGrant:
-				r.ID, err = n.w.state.Grant(n.name, n.ctl.auth.Spans.TTL)
-			case lead.CallPut:
-				res, err = n.w.state.Commit(n.name, &state.Txn{Guards: []state.Guard{{Path: key, Stamp: call.Stamp}},
-					Then: []state.Op{{Set: key, Value: n.nodeRecord(call.ID), Tenancy: call.ID}}})
-				if err == nil && !res.OK {
-					r.Outcome = lead.Conflict
-				}
-			case lead.CallTouch:
-				err = n.w.state.Touch(n.name, call.ID)
+	n.w.After(call.After+1, func() { n.sessionCall(call, life) })
+}
+
+func (n *simNode) sessionCall(call lead.Call, life int) {
+	if !n.alive || n.life != life || n.stopped(func() { n.sessionCall(call, life) }) {
+		return
+	}
+	if n.abandon != 0 {
+		n.ses.Abandon(n.abandon)
+		n.abandon = 0
+		n.session(life)
+		return
+	}
+	n.ses.Sending(n.ctl.clock())
+	var r lead.Reply
+	key := "node/" + n.name
+	do := func() (res *state.Result) {
+		err := error(nil)
+		switch call.Kind {
+		case lead.CallRead:
+			var e *state.Entry
+			if e, err = n.w.state.Get(n.name, key); err == nil {
+				r.Stamp, r.ID = e.Stamp, e.Tenancy
 			}
-			if err == state.ErrMissing {
-				r.Outcome = lead.Missing
-			} else if err != nil {
-				r.Outcome = lead.Unclear
+		case lead.CallEnd:
+			err = n.w.state.End(n.name, call.ID)
+		case lead.CallGrant:
+			r.ID, err = n.w.state.Grant(n.name, n.ctl.auth.Spans.TTL)
+		case lead.CallPut:
+			res, err = n.w.state.Commit(n.name, &state.Txn{Guards: []state.Guard{{Path: key, Stamp: call.Stamp}},
+				Then: []state.Op{{Set: key, Value: n.nodeRecord(call.ID), Tenancy: call.ID}}})
+			if err == nil && !res.OK {
+				r.Outcome = lead.Conflict
 			}
-			return res
+		case lead.CallTouch:
+			err = n.w.state.Touch(n.name, call.ID)
 		}
-		back, lost := func() { n.sessionReply(r, life) }, func() { n.sessionReply(lead.Reply{Outcome: lead.Unclear}, life) }
-		if call.Kind == lead.CallPut {
-			n.transact(do, back, lost, 2*model.Second)
-			return
+		if err == state.ErrMissing {
+			r.Outcome = lead.Missing
+		} else if err != nil {
+			r.Outcome = lead.Unclear
 		}
-		n.request(func() func() { do(); return back }, lost, 2*model.Second)
-	})
+		return res
+	}
+	back, lost := func() { n.sessionReply(r, life) }, func() { n.sessionReply(lead.Reply{Outcome: lead.Unclear}, life) }
+	if call.Kind == lead.CallPut {
+		n.transact(do, back, lost, 2*model.Second)
+		return
+	}
+	n.request(func() func() { do(); return back }, lost, 2*model.Second)
 }
 
 func (n *simNode) nodeRecord(session uint64) state.NodeRecord {
-	r := state.NodeRecord{Session: session, Layout: state.Layout}
+	r := state.NodeRecord{Session: session, Layout: state.Layout, Duties: n.ctl.duties.candidate}
 	if n.old {
 		r.Layout = 0
 	}
@@ -378,7 +393,7 @@
 }
 
 func (n *simNode) sessionReply(r lead.Reply, life int) {
-	if !n.alive || n.life != life {
+	if !n.alive || n.life != life || n.stopped(func() { n.sessionReply(r, life) }) {
 		return
 	}
 	if news := n.ses.Take(r); news.Any {
@@ -495,6 +510,7 @@
 
 func (n *simNode) deliver(life int, m any) {
 	if n.life == life {
+		n.reaches(answerOf(m))
 		n.ask(m, nil)
 	}
 }
@@ -503,6 +519,10 @@
 	if n.intercept != nil && n.intercept(m) {
 		return
 	}
+	if point := pointOf(m); n.reaches(point) || n.paused {
+		n.stopped(func() { n.commit(m) })
+		return
+	}
 	life := n.life
 	txn := n.writes(m.txn)
 	lost := m
@@ -539,14 +559,33 @@
 }
 
 func (n *simNode) rent(m msgRented) {
+	if n.reaches(beforeRent) || n.paused {
+		n.stopped(func() { n.rent(m) })
+		return
+	}
 	n.cloudCall(func() any {
+		if n.noCloud {
+			m.err = cloud.ErrTrouble
+			return m
+		}
 		m.machines, m.err = n.w.cloud.Rent(&m.rental)
 		return m
 	})
 }
 
-func (n *simNode) remove(refs []string, term uint64) {
-	n.cloudCall(func() any { return msgDeleted{refs, n.w.cloud.Delete(refs), term} })
+func (n *simNode) remove(m msgDeleted) {
+	if n.reaches(beforeDelete) || n.paused {
+		n.stopped(func() { n.remove(m) })
+		return
+	}
+	n.cloudCall(func() any {
+		if n.noCloud {
+			m.err = cloud.ErrTrouble
+			return m
+		}
+		m.err = n.w.cloud.Delete(m.refs)
+		return m
+	})
 }
 
 func (n *simNode) ping() {
@@ -554,7 +593,7 @@
 	n.w.After(2*model.Millisecond, func() {
 		var m msgPinged
 		for _, o := range n.w.nodes {
-			if o == n || !o.alive || o.alone || n.alone {
+			if o == n || !o.alive || o.paused || o.alone || n.alone {
 				continue
 			}
 			m.alive++
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -18,6 +18,9 @@
 	Run          func(*model.Job) model.Micros
 	Times        Times
 
+	// Calls are the rentals and deletions that were carried out.
+	Calls []CloudCall
+
 	sim      *Sim
 	net      Net
 	rules    *Rules
@@ -27,6 +30,13 @@
 	next     int
 }
 
+// CloudCall is a rental or a deletion that changed something.
+type CloudCall struct {
+	At       model.Micros
+	Request  string // of a rental, "": a deletion
+	Machines []string
+}
+
 type machine struct {
 	w        *Worker
 	rented   model.Micros
@@ -97,6 +107,7 @@
 		})
 	}
 	c.hires[r.RequestID] = refs
+	c.Calls = append(c.Calls, CloudCall{c.sim.Now, r.RequestID, refs})
 	return refs, nil
 }
 
@@ -109,12 +120,17 @@
 	for _, ref := range refs {
 		named[ref] = true
 	}
+	var gone []string
 	for _, m := range c.machines {
 		if named[m.w.ID] && !m.gone {
 			m.w.Die()
 			m.gone, m.goneAt = true, c.sim.Now
+			gone = append(gone, m.w.ID)
 		}
 	}
+	if len(gone) > 0 {
+		c.Calls = append(c.Calls, CloudCall{At: c.sim.Now, Machines: gone})
+	}
 	return nil
 }
 
--- a/internal/standin/state.go
+++ b/internal/standin/state.go
@@ -31,6 +31,19 @@
 	level  float64
 	at     model.Micros
 	TooBig int // refused as too large
+	// Log, if KeepLog is set, is every transaction that was accepted, or refused by a
+	// condition.
+	Log     []Write
+	KeepLog bool
+}
+
+// Write is a transaction that was answered.
+type Write struct {
+	At       model.Micros
+	Node     string
+	Txn      *state.Txn
+	Epoch    uint64   // of an accepted one
+	Rejected []string // keys whose conditions failed, or that were to be attached to an ended lease
 }
 
 type lease struct {
@@ -180,6 +193,7 @@
 	res := &state.Result{Epoch: s.epoch}
 	for _, op := range t.Then {
 		if op.Tenancy != 0 && s.leases[op.Tenancy] == nil {
+			s.record(node, t, &state.Result{Failed: []string{op.Set}})
 			return nil, state.ErrNoLease
 		}
 	}
@@ -189,9 +203,11 @@
 		}
 	}
 	if len(res.Failed) > 0 {
+		s.record(node, t, res)
 		return res, nil
 	}
 	res.OK = true
+	defer s.record(node, t, res)
 	if len(t.Then) == 0 {
 		return res, nil
 	}
@@ -213,6 +229,12 @@
 	return res, nil
 }
 
+func (s *State) record(node string, t *state.Txn, res *state.Result) {
+	if s.KeepLog {
+		s.Log = append(s.Log, Write{s.sim.Now, node, t, res.Epoch, res.Failed})
+	}
+}
+
 // Grant is POST /grants.
 func (s *State) Grant(node string, ttl model.Micros) (uint64, error) {
 	if s.refuse(node) {
@@ -248,5 +270,15 @@
 	return nil
 }
 
+// Keys counts the keys with a prefix.
+func (s *State) Keys(prefix string) (n int) {
+	for key := range s.keys {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // Has tells whether a key exists.
 func (s *State) Has(key string) bool { _, ok := s.keys[key]; return ok }
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -11,6 +11,7 @@
 
 	"woadweir/internal/core/block"
 	"woadweir/internal/core/model"
+	"woadweir/internal/duty"
 )
 
 // NodeRecord is a node's own key, attached to its session.
@@ -19,16 +20,27 @@
 	Serve   string `json:"serve"`
 	// Layout tells which layout of records the process can read, see Layout.
 	Layout int `json:"layout,omitempty"`
+	// Duties tells that the process may hold single-holder duties without leading.
+	Duties bool `json:"duties,omitempty"`
 }
 
-// Layout is the newest layout of records that this version reads: 2 has dense
-// bundles. Nothing beyond what all controllers read is written.
-const Layout = 2
+// Layout is the newest layout of records that this version reads. Nothing beyond what
+// all controllers read is written.
+const Layout = LayoutDuties
+
+// Layouts of records.
+const (
+	LayoutDense  = 2 // dense bundles
+	LayoutDuties = 3 // leases of duties, and intents; bundles may be removed
+)
 
 // LeaderRecord is the leader's key, attached to its session.
 type LeaderRecord struct {
 	Node    string `json:"node"`
 	Session uint64 `json:"session"`
+	// Duties tells that the leader rents and returns through intents, so that others
+	// may hold duties.
+	Duties bool `json:"duties,omitempty"`
 }
 
 // GrantRecord is a block's grant.
@@ -81,6 +93,12 @@
 	// what is sure to be read by all, as somebody has written it already.
 	Layouts map[string]int
 	Newest  int
+	// Nodes are the live controllers, Duties the leases of duties, Rentals and Returns
+	// the intents, by key.
+	Nodes   map[string]*NodeRecord
+	Duties  map[duty.Name]*duty.Lease
+	Rentals map[string]*duty.Rental
+	Returns map[string]*duty.Return
 
 	entries map[string]*entryView // by name, see block.BundleRecord.Names
 	bound   map[string]int        // bound tasks by job
@@ -91,6 +109,7 @@
 // NewView makes an empty view.
 func NewView() *View {
 	return &View{Layouts: map[string]int{}, Stamps: map[string]uint64{}, Jobs: map[string]*JobView{}, Grants: map[string]*GrantRecord{},
+		Nodes: map[string]*NodeRecord{}, Duties: map[duty.Name]*duty.Lease{}, Rentals: map[string]*duty.Rental{}, Returns: map[string]*duty.Return{},
 		entries: map[string]*entryView{}, bound: map[string]int{}, bundles: map[string]*bundleView{}}
 }
 
@@ -144,9 +163,19 @@
 		var r NodeRecord
 		if read(&r) == nil {
 			v.Layouts[rest] = r.Layout
+			v.Nodes[rest] = &r
 		}
 		v.Stamps[path] = stamp
 		return true, nil
+	case strings.HasPrefix(path, duty.KeyPrefix) && slices.Contains(duty.Movable, duty.Name(rest)):
+		var r duty.Lease
+		err, rec = read(&r), r
+	case strings.HasPrefix(path, duty.RentalPrefix):
+		var r duty.Rental
+		err, rec = read(&r), r
+	case strings.HasPrefix(path, duty.ReturnPrefix):
+		var r duty.Return
+		err, rec = read(&r), r
 	default:
 		err = fmt.Errorf("%w: %s", ErrLayout, path)
 	}
@@ -276,18 +305,63 @@
 }
 
 // Drop applies a key's removal, unless a newer value is known. Only keys that
-// are attached to a session are ever removed.
+// are attached to a session, intents and unused bundles are ever removed.
 func (v *View) Drop(path string, stamp uint64) bool {
 	if old, ok := v.Stamps[path]; !ok || stamp < old {
 		return false
 	}
 	delete(v.Stamps, path)
-	if path == "leader" {
+	switch kind, rest, _ := strings.Cut(path, "/"); kind {
+	case "leader":
 		v.Leader = nil
+	case "node":
+		delete(v.Nodes, rest)
+	case "duty":
+		delete(v.Duties, duty.Name(rest))
+	case "intent":
+		delete(v.Rentals, path)
+		delete(v.Returns, path)
+	case "bound":
+		v.dropBundle(path)
 	}
 	return true
 }
 
+// dropBundle forgets a bundle with all that stands in it.
+func (v *View) dropBundle(path string) {
+	if b := v.bundles[path]; b != nil {
+		for _, name := range b.names {
+			v.drop(name, path)
+		}
+		delete(v.bundles, path)
+	}
+}
+
+// UnusedBundles calls f for every bundle of which nothing counts any more: no entry is
+// the latest version of a machine or of an unfinished job, nor says that a machine is
+// gone of which an older version stands elsewhere.
+func (v *View) UnusedBundles(f func(path string, stamp uint64)) {
+	copies := map[string]int{}
+	for _, b := range v.bundles {
+		for _, name := range b.names {
+			copies[name]++
+		}
+	}
+	for path, b := range v.bundles {
+		used := slices.ContainsFunc(b.names, func(name string) bool {
+			e := v.entries[name]
+			if e == nil || e.at != path && e.twin != path {
+				return false
+			}
+			gone := e.machine == nil && strings.HasPrefix(name, block.MachineEntry)
+			return !gone || copies[name] > 1
+		})
+		if !used {
+			f(path, b.stamp)
+		}
+	}
+}
+
 // Known tells whether a job was accepted.
 func (v *View) Known(ref string) bool {
 	j := v.Jobs[ref]
@@ -324,6 +398,17 @@
 	return "", false
 }
 
+// Apply takes a transaction that was carried out.
+func (v *View) Apply(txn *Txn, epoch uint64) {
+	for _, op := range txn.Then {
+		if op.Drop != "" {
+			v.Drop(op.Drop, epoch)
+			continue
+		}
+		v.Put(op.Set, op.Value, epoch)
+	}
+}
+
 // Put applies a value, unless a newer one is known.
 func (v *View) Put(path string, value any, stamp uint64) {
 	if stamp <= v.Stamps[path] {
@@ -360,7 +445,7 @@
 		}
 	case block.BundleRecord:
 		if x.Dense {
-			v.Newest = Layout
+			v.Newest = LayoutDense
 		}
 		v.putBundle(path, &x, stamp)
 	case LeaderRecord:
@@ -369,6 +454,12 @@
 		v.Grants[rest] = &x
 	case MachineTypesRecord:
 		v.MachineTypes = x.MachineTypes
+	case duty.Lease:
+		v.Duties[duty.Name(rest)] = &x
+	case duty.Rental:
+		v.Rentals[path] = &x
+	case duty.Return:
+		v.Returns[path] = &x
 	default:
 		panic("state: no such record: " + path)
 	}
