--- a/internal/duty/policy.go
+++ b/internal/duty/policy.go
@@ -19,8 +19,8 @@
 	PlaceListed Place = "listed" // as listed, then all others
 )
 
-// DutySettings is what the operators say of one duty.
-type DutySettings struct {
+// Entry is what the operators say of one duty.
+type Entry struct {
 	Name   string   `xml:"name,attr"`
 	Place  string   `xml:"place,attr"`
 	Prefer []string `xml:"prefer"`
@@ -29,7 +29,7 @@
 // Settings is the operators' duties file.
 type Settings struct {
 	XMLName       xml.Name       `xml:"duties"`
-	Duties        []DutySettings `xml:"duty"`
+	Duties        []Entry `xml:"duty"`
 	SettleS       float64        `xml:"settle-s"`
 	CooldownS     float64        `xml:"cooldown-s"`
 	LeaseS        float64        `xml:"lease-s"`
@@ -114,7 +114,7 @@
 }
 
 // add checks what the file says of a duty and takes it into the policy.
-func (p *Policy) add(d *DutySettings, nodes []string) error {
+func (p *Policy) add(d *Entry, nodes []string) error {
 	field, name := "duty "+d.Name, Name(d.Name)
 	if name == Reclaiming {
 		return &FieldError{field, "stays with the holder of the machines' block and can't be placed"}
