Duties: a pause is no overload, a lost cloud is noticed without work, 4,000 machines

Cause, found by the measurement of hand-overs: a holder that stood still for 5 s handed over on waking, as one late tick counted as five late seconds; one that could not reach the cloud found out only when something was to be rented (median 30 s). Now three late ticks in a row are needed, holders ask the cloud every 4 s, and the wait before handing over doubles with each such hand-over, so that an outage for all moves little (seen failing: 3 moves in 40 s).

Mended on the way: 4,096 messages and 1,024 calls at a controller were near what 4,000 machines need after a takeover.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -124,7 +124,7 @@
 // take, and the bytes that a machine's name takes at most.
 const (
 	intentOverhead   = 320
-	machineNameBytes = 24
+	machineNameBytes = 26  // with quotes and a comma
 	rentAtMost       = 50  // the cloud's limit of a rental
 	returnAtMost     = 100 // the cloud's limit of a deletion
 )
--- a/internal/duty/keeper.go
+++ b/internal/duty/keeper.go
@@ -10,8 +10,8 @@
 // Times of a keeper.
 const (
 	acquireStagger  = 500 * model.Millisecond // each further controller of the order waits so much longer
-	cloudFailure    = 10 * model.Second       // without an answer of the cloud
-	maxDoublings    = 5                       // of the pause for which a controller is avoided
+	cloudFailure    = 10 * model.Second       // without an answer of the cloud, at first
+	maxDoublings    = 5                       // of such times
 	avoidanceMemory = 10                      // in pauses: later failures count from one again
 )
 
@@ -163,7 +163,7 @@
 	held := s.Leases[name]
 	why := ReasonNone
 	switch {
-	case name.NeedsCloud() && s.CloudFailingSince != 0 && s.Now-max(s.CloudFailingSince, k.heldSince[name]) >= cloudFailure:
+	case name.NeedsCloud() && s.CloudFailingSince != 0 && s.Now-max(s.CloudFailingSince, k.heldSince[name]) >= k.cloudPatience(s, held.Avoid):
 		why = ReasonNoCloud
 	case s.Overloaded:
 		why = ReasonOverloaded
@@ -187,6 +187,16 @@
 	return Action{}, false
 }
 
+// cloudPatience is how long a holder waits for the cloud before it hands over: longer
+// with each hand-over not long ago, as it may be that the cloud answers nobody.
+func (k *Keeper) cloudPatience(s *Situation, avoid map[string]Avoidance) model.Micros {
+	times := 0
+	for _, a := range k.stillAvoided(s, avoid) {
+		times += a.Times
+	}
+	return cloudFailure << min(times, maxDoublings)
+}
+
 func (k *Keeper) passTo(s *Situation, name Name, successor Node, why Reason) Action {
 	held := s.Leases[name]
 	avoid := k.stillAvoided(s, held.Avoid)
--- a/internal/duty/policy.go
+++ b/internal/duty/policy.go
@@ -28,12 +28,12 @@
 
 // Settings is the operators' duties file.
 type Settings struct {
-	XMLName       xml.Name       `xml:"duties"`
-	Duties        []Entry `xml:"duty"`
-	SettleS       float64        `xml:"settle-s"`
-	CooldownS     float64        `xml:"cooldown-s"`
-	LeaseS        float64        `xml:"lease-s"`
-	TraceEndpoint string         `xml:"trace-endpoint"`
+	XMLName       xml.Name `xml:"duties"`
+	Duties        []Entry  `xml:"duty"`
+	SettleS       float64  `xml:"settle-s"`
+	CooldownS     float64  `xml:"cooldown-s"`
+	LeaseS        float64  `xml:"lease-s"`
+	TraceEndpoint string   `xml:"trace-endpoint"`
 }
 
 // Defaults and bounds of the duties file.
--- /dev/null
+++ b/internal/duty/policy_test.go
@@ -0,0 +1,59 @@
+package duty
+
+import (
+	"errors"
+	"slices"
+	"strings"
+	"testing"
+
+	"woadweir/internal/core/model"
+)
+
+var threeNodes = []string{"c", "a", "b"}
+
+// What is wrong in a duties file is refused with its field and the reason.
+func TestBadSettings(t *testing.T) {
+	for file, want := range map[string][2]string{
+		`<duties`: {"duties", "XML"},
+		`<duties><duty name="cooking"/></duties>`:                                           {"duty cooking", "unknown duty"},
+		`<duties><duty name="reclaiming" place="spread"/></duties>`:                         {"duty reclaiming", "stays with"},
+		`<duties><duty name="renting" place="moon"/></duties>`:                              {"duty renting", "unknown place"},
+		`<duties><duty name="renting" place="listed"/></duties>`:                            {"duty renting", "nobody may hold it"},
+		`<duties><duty name="renting"><prefer>d</prefer></duty></duties>`:                   {"duty renting", `unknown controller "d"`},
+		`<duties><duty name="renting"><prefer>a</prefer><prefer>a</prefer></duty></duties>`: {"duty renting", "twice"},
+		`<duties><duty name="renting" place="spread"><prefer>a</prefer></duty></duties>`:    {"duty renting", "names no controllers"},
+		`<duties><duty name="renting"/><duty name="renting"/></duties>`:                     {"duty renting", "named twice"},
+		`<duties><settle-s>0</settle-s></duties>`:                                           {"settle-s", "not between"},
+		`<duties><cooldown-s>NaN</cooldown-s></duties>`:                                     {"cooldown-s", "not between"},
+		`<duties><lease-s>1</lease-s></duties>`:                                             {"lease-s", "shorter than is useful"},
+		`<duties><lease-s>-4</lease-s></duties>`:                                            {"lease-s", "shorter than is useful"},
+		`<duties><lease-s>11</lease-s></duties>`:                                            {"lease-s", "longer than is safe"},
+	} {
+		_, err := ParseSettings([]byte(file), threeNodes, 10*model.Second)
+		var field *FieldError
+		if !errors.As(err, &field) || field.Field != want[0] || !strings.Contains(field.Reason, want[1]) {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
+
+// The order of candidates follows the place; the leader comes last where it is not
+// preferred, and duties that are spread begin with different controllers.
+func TestOrder(t *testing.T) {
+	p, err := ParseSettings([]byte(`<duties><duty name="renting" place="spread"/><duty name="returning" place="spread"/>
+		<duty name="cleanup"><prefer>b</prefer></duty><lease-s>4</lease-s></duties>`), threeNodes, 10*model.Second)
+	if err != nil || p.Lease != 4*model.Second {
+		t.Fatal(p, err)
+	}
+	for name, want := range map[Name][]string{Renting: {"b", "c", "a"}, Returning: {"c", "b", "a"}, Cleanup: {"b", "c", "a"}} {
+		if got := p.Order(name, threeNodes, "a"); !slices.Equal(got, want) {
+			t.Errorf("%s: %v", name, got)
+		}
+	}
+	if got := LeaderOnly().Order(Renting, threeNodes, "b"); got[0] != "b" {
+		t.Errorf("leader's duty: %v", got)
+	}
+	if got := p.Order(Cleanup, []string{"a"}, "a"); !slices.Equal(got, []string{"a"}) {
+		t.Errorf("alone: %v", got)
+	}
+}
--- a/internal/node/carryout.go
+++ b/internal/node/carryout.go
@@ -103,16 +103,14 @@
 	call.busy = false
 	switch {
 	case err == nil || errors.Is(err, cloud.ErrNoCapacity):
-		d.cloudFailingSince = 0
+		d.cloudAnswered(nil)
 		return call
 	case errors.Is(err, errTooLate):
 		call.retryAt = d.c.now
 	default:
 		slog.Debug("intent", "key", m.intent, "err", err)
 		call.retryAt = d.c.now + callRetry
-		if d.cloudFailingSince == 0 {
-			d.cloudFailingSince = d.c.now
-		}
+		d.cloudAnswered(err)
 	}
 	return nil
 }
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -21,12 +21,18 @@
 	budgetPatience = 5 * model.Second // outcomes that wait for longer are reported
 )
 
-// What makes a controller overloaded: ticks that come so late, for so long.
+// What makes a controller overloaded: ticks that come so late, so many in a row, for so
+// long. A process that stood still once is late once.
 const (
-	lateTick     = model.Second
-	overloadedIn = 5 * model.Second
+	lateTick       = model.Second
+	lateTicksLeast = 3
+	overloadedIn   = 5 * model.Second
 )
 
+// probeGap is how often a holder asks the cloud for something, so that it learns of a
+// cloud that it can't reach before a rental or a deletion has to wait for that.
+const probeGap = 4 * model.Second
+
 // The histogram of the times for which duties were vacant, in milliseconds.
 const (
 	vacancyMostMs = 600_000
@@ -51,6 +57,8 @@
 
 	stepAt, cleanAt   model.Micros
 	tickAt, lateSince model.Micros
+	lateTicks         int
+	probeAt           model.Micros
 	cloudFailingSince model.Micros
 	waitingSince      model.Micros // since when outcomes wait for the budget
 	waitingReported   bool
@@ -90,15 +98,17 @@
 	now := d.c.now
 	switch {
 	case d.tickAt == 0 || now-d.tickAt < lateTick:
-		d.lateSince = 0
-	case d.lateSince == 0:
-		d.lateSince = d.tickAt
+		d.lateSince, d.lateTicks = 0, 0
+	case d.lateTicks == 0:
+		d.lateSince, d.lateTicks = d.tickAt, 1
+	default:
+		d.lateTicks++
 	}
 	d.tickAt = now
 }
 
 func (d *dutyHolder) overloaded() bool {
-	return d.lateSince != 0 && d.c.now-d.lateSince >= overloadedIn
+	return d.lateTicks >= lateTicksLeast && d.c.now-d.lateSince >= overloadedIn
 }
 
 // step does what is due.
@@ -201,8 +211,22 @@
 	}
 	_, rents := d.held[duty.Renting]
 	_, returns := d.held[duty.Returning]
-	if !rents && !returns {
+	switch {
+	case !rents && !returns:
+		d.cloudFailingSince = 0
+	case d.c.leading == nil && s.Now-d.probeAt >= probeGap: // a leader reads the machine list anyway
+		d.probeAt = s.Now
+		d.c.io.flavors()
+	}
+}
+
+// cloudAnswered takes note of whether the cloud has answered a call.
+func (d *dutyHolder) cloudAnswered(err error) {
+	switch {
+	case err == nil:
 		d.cloudFailingSince = 0
+	case d.cloudFailingSince == 0:
+		d.cloudFailingSince = d.c.now
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,10 @@
 	return func() model.Micros { return model.Micros(time.Since(start) / time.Microsecond) }
 }
 
+// mailboxSize is how many messages may wait for the controller actor. After a takeover
+// all workers of some thousand machines report within a second.
+const mailboxSize = 16384
+
 // Run serves until the context ends or a listener fails.
 func Run(ctx context.Context, set *config.Settings, op *config.Operator) error {
 	clock := SteadyClock()
@@ -51,7 +55,7 @@
 		defer func() { _ = shutdown(context.WithoutCancel(ctx)) }() // what is not sent by now is lost
 	}
 	g, ctx := errgroup.WithContext(ctx)
-	mail := make(chan any, 4096)
+	mail := make(chan any, mailboxSize)
 	st := state.NewClient(set.Services.State)
 	var peers []*peer.Client
 	for _, s := range set.Siblings {
--- a/internal/node/provisioning.go
+++ b/internal/node/provisioning.go
@@ -53,12 +53,14 @@
 }
 
 func (c *controller) gotMachineTypes(m msgMachineTypes) {
+	c.duties.cloudAnswered(m.err)
 	if c.leading != nil {
 		c.leading.gotMachineTypes(m)
 	}
 }
 
 func (c *controller) listed(m msgListed) {
+	c.duties.cloudAnswered(m.err)
 	l := c.leading
 	if l == nil || !l.ready {
 		return
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -63,7 +63,7 @@
 	pending []func() bool
 	abandon uint64 // a session that the session actor is to end
 	old     bool   // it runs the version in production, see upgrade_test.go
-	noCloud bool   // its rentals and deletions are refused
+	noCloud bool   // the cloud refuses its requests
 	paused  bool   // the process stands still, see pause_test.go
 	waiting []func()
 	pauseAt func(pausePoint) bool // tells whether the process stops there
@@ -543,7 +543,7 @@
 
 func (n *simNode) flavors() {
 	n.cloudCall(func() any {
-		if n.w.cloud.Down {
+		if n.w.cloud.Down || n.noCloud {
 			return msgMachineTypes{err: cloud.ErrTrouble}
 		}
 		return msgMachineTypes{builds: n.w.cloud.MachineTypes}
@@ -554,6 +554,9 @@
 	sent := n.ctl.clock()
 	n.cloudCall(func() any {
 		ms, err := n.w.cloud.List()
+		if n.noCloud {
+			err = cloud.ErrTrouble
+		}
 		return msgListed{sent, ms, err}
 	})
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -53,9 +53,13 @@
 	return &ResignAnswer{}, nil
 }
 
+// maxCalls is how many calls of one controller may be answered at the same time: a
+// sibling may hand on the reports of some thousand workers at once.
+const maxCalls = 8192
+
 // Serve answers calls until the context ends.
 func Serve(ctx context.Context, ln net.Listener, h Handler) error {
-	s := grpc.NewServer(grpc.MaxConcurrentStreams(1024))
+	s := grpc.NewServer(grpc.MaxConcurrentStreams(maxCalls))
 	RegisterPeerServer(s, &server{h: h})
 	stop := context.AfterFunc(ctx, s.Stop)
 	defer stop()
