--- a/internal/core/slack/slack.go
+++ b/internal/core/slack/slack.go
@@ -257,10 +257,8 @@
 func (l *Provisioner) keepPlaceholders(slots []*slot, flexible bool) (roaming []*placeholder) {
 	byID := make(map[string]*slot, len(slots))
 	for _, s := range slots {
-		if !flexible {
-			s.spare = s.open
-		} else if s.offer.Spot {
-			s.spare = s.free
+		if !flexible || s.offer.Spot {
+			s.resetSpare(flexible)
 		}
 		byID[s.machine.ID] = s
 	}
@@ -280,9 +278,11 @@
 	return roaming
 }
 
-// resetSpare has placeholders find all that tasks leave of a machine to be rented.
-func (s *slot) resetSpare() {
-	if s.spare = s.open; s.offer.Spot {
+// resetSpare has placeholders find all that tasks leave of a machine. Once flexible work
+// is placed, that is on spot machines what this work leaves, too.
+func (s *slot) resetSpare(flexiblePlaced bool) {
+	s.spare = s.open
+	if flexiblePlaced && s.offer.Spot {
 		s.spare = s.free
 	}
 }
@@ -346,7 +346,7 @@
 // rentForPlaceholders adds the machines that homeless placeholders need.
 func (l *Provisioner) rentForPlaceholders(in *Input, slots, fresh []*slot, roaming []*placeholder) []*slot {
 	for _, s := range fresh {
-		s.resetSpare()
+		s.resetSpare(true)
 	}
 	roaming = l.placePlaceholders(roaming, fresh)
 	var elsewhere []*placeholder
@@ -379,7 +379,7 @@
 			refused = p
 			continue
 		}
-		s.resetSpare()
+		s.resetSpare(true)
 		fresh = append(fresh, s)
 		l.placePlaceholders([]*placeholder{p}, fresh)
 	}
--- a/internal/node/carryout.go
+++ b/internal/node/carryout.go
@@ -21,6 +21,9 @@
 	callRetry   = model.Second // after a call that failed
 )
 
+// outcomeShare is the part of a controller's changes that outcomes may have at any time.
+const outcomeShare = 0.25
+
 // intentCall is an open intent that this controller carries out.
 type intentCall struct {
 	stamp   uint64 // the intent's revision
@@ -149,7 +152,7 @@
 		return false
 	}
 	txn := &state.Txn{Guards: []state.Guard{{Path: name.Key(), Stamp: token}}}
-	most, waiting, machines := min(c.limits.TxnOps, c.budget.Left(c.now)), 0, 0
+	most, waiting, machines := d.outcomesAtMost(), 0, 0
 	for _, key := range slices.Sorted(maps.Keys(d.calls)) {
 		call := d.calls[key]
 		if call.name != name || call.outcome == nil || c.view.Stamps[key] != call.stamp {
@@ -177,10 +180,23 @@
 	if len(txn.Then) == 0 {
 		return false
 	}
+	d.outcomesAt = c.now
 	c.send(laneDuty, msgCommitted{txn: txn, token: token})
 	return true
 }
 
+// outcomesAtMost is how many outcomes may be written now. Users' changes come first, but
+// a few outcomes a second are written even if these take the whole budget: the leader
+// counts on machines that it does not know of yet.
+func (d *dutyHolder) outcomesAtMost() int {
+	c := d.c
+	most := c.budget.Left(c.now)
+	if c.now-d.outcomesAt >= model.Second {
+		most = max(most, 1, int(c.budget.Rate()*outcomeShare))
+	}
+	return min(c.limits.TxnOps, most)
+}
+
 // noteWaiting reports outcomes that the budget of writes holds up.
 func (d *dutyHolder) noteWaiting(name duty.Name, waiting, sent int) {
 	now := d.c.now
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -26,7 +26,7 @@
 	lanes     = laneUsers + userLanes
 )
 
-// theBlock is the one block of the present policy: the leader holds it.
+// blockName names the one block of the present policy: the leader holds it.
 const blockName = "b0"
 
 // writeShare is a controller's part of the changes that the state service bears:
@@ -82,7 +82,7 @@
 	slog.Error("the state service bears less than the settings say", "err", err, "txn_ops", c.limits.TxnOps, "value_kb", c.limits.ValueKB)
 }
 
-// held is a response to a worker that waits for bindings to become durable.
+// pendingResponse is a response to a worker that waits for bindings to become durable.
 type pendingResponse struct {
 	msg   msgReport
 	until model.Micros
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -59,6 +59,7 @@
 	tickAt, lateSince model.Micros
 	lateTicks         int
 	probeAt           model.Micros
+	outcomesAt        model.Micros // when outcomes were last written
 	cloudFailingSince model.Micros
 	waitingSince      model.Micros // since when outcomes wait for the budget
 	waitingReported   bool
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -103,7 +103,7 @@
 func (l *leadership) slotFree(key string) bool {
 	if r := l.c.view.Rentals[key]; r != nil {
 		at, seen := l.intents.finishedAt[key]
-		return r.State != duty.Open && seen && l.c.now-at >= duty.RetainRental
+		return r.State == duty.Refused || r.State == duty.Filled && seen && l.c.now-at >= duty.RetainRental
 	}
 	r := l.c.view.Returns[key]
 	return r == nil || r.State != duty.Open && l.intents.returns[key] == nil
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -184,7 +184,7 @@
 	}
 }
 
-// pump makes the holder's changes durable, one transaction at a time.
+// writeBindings makes the holder's changes durable, one transaction at a time.
 func (l *leadership) writeBindings() {
 	c := l.c
 	if c.busy[laneHolder] || l.resync || c.now < c.pauses[laneHolder] || l.block.Queued() == 0 {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -12,7 +12,7 @@
 // The messages that the controller actor takes. Whoever sends one with a reply
 // channel gives it a buffer of one, so that the actor never waits.
 type (
-	// msgPoll, msgSubmit and msgWithdraw are users' requests.
+	// msgStatusQuery, msgSubmit and msgCancel are users' requests.
 	msgStatusQuery struct {
 		ref   string
 		reply chan<- userapi.Answer
@@ -29,7 +29,7 @@
 	}
 	// msgUp is a health check.
 	msgUp struct{ reply chan<- bool }
-	// msgCheckin is a worker's report.
+	// msgReport is a worker's report.
 	msgReport struct {
 		report *block.Report
 		reply  chan<- workerAnswer
--- a/internal/node/provisioning.go
+++ b/internal/node/provisioning.go
@@ -7,6 +7,7 @@
 
 	"woadweir/internal/cloud"
 	"woadweir/internal/core/model"
+	"woadweir/internal/core/place"
 	"woadweir/internal/core/slack"
 	"woadweir/internal/duty"
 	"woadweir/internal/state"
@@ -165,7 +166,7 @@
 // cloudOK tells whether the cloud answered last.
 func (l *leadership) cloudOK() bool { return l.cloudGood > l.cloudBad }
 
-// giveBack decides that a machine is returned. There is no way back: a deletion
+// returnMachine decides that a machine is returned. There is no way back: a deletion
 // that got no answer may still be carried out.
 func (l *leadership) returnMachine(h *model.Machine, why string) {
 	if h.Deleting {
@@ -186,23 +187,23 @@
 	return 2
 }
 
-// deafAlone tells that few machines do not hear us. When many don't, the fault may
-// be ours, as when this controller falls behind, and returning them all would be
-// worse than any of it.
+// fewUnreachable tells that few machines do not receive our answers. When many don't, the
+// fault may be ours, as when this controller falls behind, and returning them all would
+// be worse than any of it.
 func (l *leadership) fewUnreachable() bool {
-	mute := 0
+	unreachable := 0
 	for _, h := range l.block.Machines {
 		if h.UnansweredSince != 0 {
-			mute++
+			unreachable++
 		}
 	}
-	return mute <= max(1, len(l.block.Machines)/4)
+	return unreachable <= max(1, len(l.block.Machines)/4)
 }
 
-// clean returns machines that are of no use, and sends deletions.
+// returnUselessMachines returns machines that are of no use, and sends deletions.
 func (l *leadership) returnUselessMachines() {
 	c := l.c
-	alone := l.fewUnreachable()
+	fewUnreachable := l.fewUnreachable()
 	for ref, h := range l.block.Machines {
 		f := l.block.MachineTypes[h.MachineType]
 		silent := c.now - max(h.LastHeartbeat, h.RentedAt)
@@ -214,7 +215,7 @@
 			l.returnMachine(h, "not listed any more")
 		case h.Up && h.Lost && silent > l.block.LeaseExpiry()+5*model.Second:
 			l.returnMachine(h, "silent")
-		case alone && l.block.Unreachable(h, c.now):
+		case fewUnreachable && l.block.Unreachable(h, c.now):
 			l.returnMachine(h, "does not hear")
 		case h.Draining && len(h.Bindings) == 0:
 			l.returnMachine(h, "not wanted")
@@ -222,36 +223,51 @@
 			l.returnMachine(h, "never came up")
 		}
 	}
+	l.forgetDeleted()
+	l.sendDeletions()
+}
+
+// forgetDeleted forgets machines that were deleted long ago.
+func (l *leadership) forgetDeleted() {
 	for ref, at := range l.deletedMachines {
-		if _, returning := l.pendingDeletions[ref]; !returning && c.now-at > forgetMachine {
+		if _, returning := l.pendingDeletions[ref]; !returning && l.c.now-at > forgetMachine {
 			delete(l.deletedMachines, ref)
 		}
 	}
+}
+
+// deleteAtMost is the cloud's limit of a deletion.
+const deleteAtMost = 100
+
+// sendDeletions sends the deletions that are due, or has them sent.
+func (l *leadership) sendDeletions() {
+	c := l.c
 	var refs []string
 	for ref, at := range l.pendingDeletions {
 		if at == 0 || at > 0 && c.now >= at {
 			refs = append(refs, ref)
-			if len(refs) == 100 {
+			if len(refs) == deleteAtMost {
 				break
 			}
 		}
 	}
-	if len(refs) > 0 {
-		for _, ref := range refs {
-			l.pendingDeletions[ref] = deletionSent
-		}
-		if c.actsThroughIntents() {
-			l.decideReturn(refs)
-			return
-		}
-		c.io.remove(msgDeleted{refs: refs, term: l.token})
+	if len(refs) == 0 {
+		return
+	}
+	for _, ref := range refs {
+		l.pendingDeletions[ref] = deletionSent
+	}
+	if c.actsThroughIntents() {
+		l.decideReturn(refs)
+		return
 	}
+	c.io.remove(msgDeleted{refs: refs, term: l.token})
 }
 
 // deletionSent stands in pendingDeletions for a deletion that is on its way.
 const deletionSent model.Micros = -1
 
-// rentLoop is a round of the renting loop.
+// provision is a round of the renting loop.
 func (l *leadership) provision() {
 	c := l.c
 	l.lastProvisioning, l.nextProvisioning, l.provisionSoon = c.now, c.now+model.Seconds(float64(c.op.LoopPeriodS)), false
@@ -260,15 +276,54 @@
 		l.provisionSoon = true
 		return
 	}
+	out := l.provisioner.Round(l.provisioningInput())
+	for _, h := range l.block.Machines {
+		h.Surplus = false
+	}
+	for _, h := range out.Surplus {
+		h.Surplus = true
+	}
+	if l.cloudOK() || c.now-l.cloudBad > 2*model.Second {
+		for _, r := range out.Rent {
+			l.rent(r, out.Unplaced)
+		}
+	}
+	for _, h := range out.GiveBack {
+		l.returnMachine(h, "idle")
+	}
+	for _, h := range out.Vacate {
+		l.block.Vacate(h, c.now)
+	}
+	if out.Unplaced > 0 {
+		l.provisionSoon = true
+	}
+}
+
+// provisioningInput is what a round of the renting loop looks at.
+func (l *leadership) provisioningInput() *slack.Input {
+	c := l.c
 	w := l.block.World(c.now)
 	w.Sort()
 	in := &slack.Input{Now: c.now, Machines: w.Machines, MachineTypes: l.block.MachineTypes, CloudOK: l.cloudOK(), OrdinaryPriority: model.ProductionPriority}
+	l.addPendingRentals(in)
+	l.addWaitingWork(in, w)
+	l.addTaskSizes(in)
+	return in
+}
+
+// addPendingRentals counts the machines that are asked for as if they were there.
+func (l *leadership) addPendingRentals(in *slack.Input) {
 	for hire, r := range l.pendingRentals {
 		for k := range r.Count {
 			in.Machines = append(in.Machines, &model.Machine{ID: fmt.Sprintf("~%s-%d", hire, k), MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot,
-				Size: l.block.MachineTypes[r.MachineType].Size(), RentedAt: c.now, EmptySince: c.now})
+				Size: l.block.MachineTypes[r.MachineType].Size(), RentedAt: l.c.now, EmptySince: l.c.now})
 		}
 	}
+}
+
+// addWaitingWork adds the tasks that wait and that their teams' limits allow to start.
+func (l *leadership) addWaitingWork(in *slack.Input, w *place.World) {
+	c := l.c
 	room := map[string]model.Resources{}
 	for _, t := range c.teams {
 		room[t.Name] = t.Limit.Minus(w.Used[t.Name])
@@ -294,8 +349,12 @@
 			in.Waiting = append(in.Waiting, slack.Demand{Job: j, Count: k})
 		}
 	}
+}
+
+// addTaskSizes adds the sizes of tasks that were asked for lately.
+func (l *leadership) addTaskSizes(in *slack.Input) {
 	for z, at := range l.recentSizes {
-		if c.now-at > forgetTaskSize {
+		if l.c.now-at > forgetTaskSize {
 			delete(l.recentSizes, z)
 			continue
 		}
@@ -306,27 +365,6 @@
 			in.FlexibleSizes = append(in.FlexibleSizes, z.request)
 		}
 	}
-	out := l.provisioner.Round(in)
-	for _, h := range l.block.Machines {
-		h.Surplus = false
-	}
-	for _, h := range out.Surplus {
-		h.Surplus = true
-	}
-	if l.cloudOK() || c.now-l.cloudBad > 2*model.Second {
-		for _, r := range out.Rent {
-			l.rent(r, out.Unplaced)
-		}
-	}
-	for _, h := range out.GiveBack {
-		l.returnMachine(h, "idle")
-	}
-	for _, h := range out.Vacate {
-		l.block.Vacate(h, c.now)
-	}
-	if out.Unplaced > 0 {
-		l.provisionSoon = true
-	}
 }
 
 // rent asks for machines, or has them asked for.
--- a/internal/node/responses.go
+++ b/internal/node/responses.go
@@ -5,7 +5,7 @@
 	"woadweir/internal/workerapi"
 )
 
-// checkin takes a report. The response may wait a moment for bindings that the
+// report takes a worker's report. The response may wait a moment for bindings that the
 // report made possible.
 func (l *leadership) report(m msgReport) {
 	c := l.c
@@ -52,7 +52,7 @@
 	m.reply <- workerAnswer{code: 200, body: workerapi.Answer(l.token, l.block.Commands(m.report, l.c.now))}
 }
 
-// flush answers reports whose bindings are durable, or that waited enough.
+// answerPending answers reports whose bindings are durable, or that waited enough.
 func (l *leadership) answerPending(all bool) {
 	if len(l.pendingResponses) == 0 {
 		return
