Duties subcommand and its settings, tested from the command line

Who holds which duty is read from a stand-in of the state service; a good file, an unknown controller and a lease longer than is safe are told apart by check.

--- a/cmd/woadweir/main_test.go
+++ b/cmd/woadweir/main_test.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"github.com/valyala/fasthttp"
 )
 
 // Run as the program itself when asked to, so that exit statuses can be seen.
@@ -17,11 +20,50 @@
 	os.Exit(m.Run())
 }
 
-func TestExitStatus(t *testing.T) {
-	bad := filepath.Join(t.TempDir(), "bad.toml")
-	if err := os.WriteFile(bad, []byte(`node_name = "x"`), 0o600); err != nil {
+const goodSettings = `node_name = "node-0"
+serve_on = "127.0.0.1:0"
+back = "127.0.0.1:0"
+[[siblings]]
+node_name = "node-1"
+endpoint = "127.0.0.1:1"
+[services]
+cloud = "127.0.0.1:1"
+state = "127.0.0.1:1"
+[params]
+[[params.teams]]
+name = "red"
+cpus_max = 10.0
+[params.workers]
+report_s = 2.5
+lease_s = 18.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 38.0
+[params.state]
+rps = 120.0
+write_rps = 40.0
+value_kb = 32.0
+txn_ops = 24
+[params.cloud]
+rps = 8.0
+list_lag_s = 5.0
+`
+
+func write(t *testing.T, path, text string) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
+}
+
+func TestExitStatus(t *testing.T) {
+	bad := filepath.Join(t.TempDir(), "bad.toml")
+	write(t, bad, `node_name = "x"`)
+	good, duties := filepath.Join(t.TempDir(), "good.toml"), filepath.Join(t.TempDir(), "duties.xml")
+	write(t, good, goodSettings)
+	write(t, duties, `<duties><duty name="renting"><prefer>node-7</prefer></duty></duties>`)
+	long := filepath.Join(t.TempDir(), "long.xml")
+	write(t, long, `<duties><lease-s>60</lease-s></duties>`)
 	for _, c := range []struct {
 		args   string
 		status int
@@ -34,6 +76,11 @@
 		{"check --config " + bad + ".none", 2, "no such file"},
 		{"run", 2, "--config"},
 		{"frob", 2, "frob"},
+		{"check --config " + good, 0, "settings are good"},
+		{"check --config " + good + " --duties ../../deploy/duties.xml", 0, "settings are good"},
+		{"check --config " + good + " --duties " + duties, 2, `duty renting: unknown controller "node-7"`},
+		{"check --config " + good + " --duties " + long, 2, "lease-s: 60 is longer than is safe"},
+		{"duties --config " + good, 1, "state service"},
 	} {
 		cmd := exec.Command(os.Args[0], strings.Fields(c.args)...)
 		cmd.Env = append(os.Environ(), "WOADWEIR_TEST_MAIN=1")
@@ -46,3 +93,39 @@
 		}
 	}
 }
+
+// The duties are read from the state service: who holds each, and why the last one lost it.
+func TestDutiesAreTold(t *testing.T) {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &fasthttp.Server{Handler: func(rc *fasthttp.RequestCtx) {
+		switch string(rc.Path()) {
+		case "/keys/duty/renting":
+			rc.SetBodyString(`{"path":"duty/renting","value":{"holder":"node-1","session":7,"sinceMs":1700000000000,"previous":"node-2","previousToken":31,"why":"cloud not reached"},"stamp":44}`)
+		case "/keys/grant/b0":
+			rc.SetBodyString(`{"path":"grant/b0","value":{"holder":"node-0","session":6},"stamp":12}`)
+		default:
+			rc.SetStatusCode(404)
+			rc.SetBodyString(`{"epoch":50}`)
+		}
+	}}
+	go func() { _ = server.Serve(ln) }()
+	defer func() { _ = server.Shutdown() }()
+	config := filepath.Join(t.TempDir(), "good.toml")
+	write(t, config, strings.ReplaceAll(goodSettings, `state = "127.0.0.1:1"`, `state = "`+ln.Addr().String()+`"`))
+	cmd := exec.Command(os.Args[0], "duties", "--config", config)
+	cmd.Env = append(os.Environ(), "WOADWEIR_TEST_MAIN=1")
+	out, err := cmd.CombinedOutput()
+	if err != nil {
+		t.Fatal(err, string(out))
+	}
+	lines := strings.Split(string(out), "\n")
+	for i, want := range []string{"DUTY HOLDER TOKEN SINCE PREVIOUS ITS TOKEN WHY IT LOST THE DUTY",
+		"renting node-1 44 2023-11-14T22:13:20Z node-2 31 cloud not reached", "returning - 0 - - 0 -", "cleanup - 0 - - 0 -", "reclaiming node-0 12 - - 0 -"} {
+		if got := strings.Join(strings.Fields(lines[i]), " "); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
