--- a/internal/core/block/bench_test.go
+++ b/internal/core/block/bench_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 
 	"woadweir/internal/core/model"
 )
 
-// bigFleet is a holder with 1,900 machines, nearly full, and 20,000 waiting tasks.
-func bigFleet() (h *State, workers []*worker) {
+// fleetSizes are those of the largest deployments measured, and of more than twice that.
+var fleetSizes = []int{1900, 4000}
+
+// bigFleet is a holder of so many machines, nearly full, with more than ten waiting tasks
+// for each.
+func bigFleet(machines int) (h *State, workers []*worker) {
 	h = New(Params{
 		Teams: map[string]*model.Team{
-			"red":  {Name: "red", Guaranteed: model.Resources{Cores: 40_000_000, GPUs: 3_000_000}, Limit: model.Resources{Cores: 90_000_000, GPUs: 9_000_000}},
-			"blue": {Name: "blue", Guaranteed: model.Resources{Cores: 40_000_000}, Limit: model.Resources{Cores: 90_000_000}},
+			"red":  {Name: "red", Guaranteed: model.Resources{Cores: 40_000_000, GPUs: 3_000_000}, Limit: model.Resources{Cores: 190_000_000, GPUs: 19_000_000}},
+			"blue": {Name: "blue", Guaranteed: model.Resources{Cores: 40_000_000}, Limit: model.Resources{Cores: 190_000_000}},
 		},
 		Report: 5 * sec, Lease: 26500 * model.Millisecond, GangWait: 30 * sec, Margin: sec, MaxValue: 28_000,
 		Waits: map[string][]model.Micros{"gang": {30 * sec}},
@@ -20,7 +25,7 @@
 	h.SetMachineTypes([]model.MachineType{
 		{Name: "box", Cores: 16, MemoryGB: 64, CacheGB: 60, FetchGBps: 0.2, Price: 0.86, SpotPrice: 0.2, BootS: 20, Zones: []string{"a"}},
 		{Name: "gpu", Cores: 96, GPUs: 8, MemoryGB: 384, CacheGB: 80, FetchGBps: 0.6, Price: 27, SpotPrice: 6.9, BootS: 25, Zones: []string{"a"}}})
-	for i := range 1900 {
+	for i := range machines {
 		machineType := "box"
 		if i%2 == 0 {
 			machineType = "gpu"
@@ -39,10 +44,10 @@
 		}
 		h.AddJob(j, model.Set{}, "", 0, 0)
 	}
-	for range 150 {
+	for range 150 * machines / fleetSizes[0] {
 		add(6, model.Gang, model.Resources{Cores: 15_000, Mem: 51_000}, "gang", "blue")
 	}
-	for range 720 {
+	for range 720 * machines / fleetSizes[0] {
 		add(40, model.Array, model.Resources{Cores: 10_000, GPUs: 1000, Mem: 36_000}, "array", "red")
 	}
 	for range 2 {
@@ -72,13 +77,27 @@
 	return &r
 }
 
-func BenchmarkPlace(b *testing.B) {
-	h, ws := bigFleet()
+// forFleets runs a benchmark with fleets of several sizes.
+func forFleets(b *testing.B, bench func(b *testing.B, machines int)) {
+	for _, machines := range fleetSizes {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) { bench(b, machines) })
+	}
+}
+
+func BenchmarkPlace(b *testing.B) { forFleets(b, benchPlace) }
+
+func benchPlace(b *testing.B, machines int) {
+	h, ws := bigFleet(machines)
+	b.ResetTimer()
 	waiting := 0
 	for _, j := range h.Jobs {
 		waiting += len(j.Waiting)
 	}
 	b.ReportMetric(float64(waiting), "waiting")
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	b.ReportMetric(float64(memory.HeapAlloc)/1e6, "heap-MB")
 	for i := range b.N {
 		now := 3*sec + model.Micros(i)*100*model.Millisecond
 		for _, w := range ws {
@@ -98,8 +117,11 @@
 	}
 }
 
-func BenchmarkReport(b *testing.B) {
-	_, ws := bigFleet()
+func BenchmarkReport(b *testing.B) { forFleets(b, benchReport) }
+
+func benchReport(b *testing.B, machines int) {
+	_, ws := bigFleet(machines)
+	b.ResetTimer()
 	for i := range b.N {
 		w := ws[i%len(ws)]
 		now := 3*sec + model.Micros(i)*4*model.Millisecond
@@ -107,8 +129,11 @@
 	}
 }
 
-func BenchmarkWrites(b *testing.B) {
-	h, ws := bigFleet()
+func BenchmarkWrites(b *testing.B) { forFleets(b, benchWrites) }
+
+func benchWrites(b *testing.B, machines int) {
+	h, ws := bigFleet(machines)
+	b.ResetTimer()
 	for i := range b.N {
 		for k := range 8 {
 			h.markChanged(h.Machines[ws[(i*31+k*71)%len(ws)].r.Machine])
--- a/internal/core/slack/bench_test.go
+++ b/internal/core/slack/bench_test.go
@@ -7,11 +7,17 @@
 	"woadweir/internal/core/model"
 )
 
-// A renting round over 1,900 machines, most of them full, with 20,000 waiting
+// A renting round over many machines, most of them full, with 20,000 waiting
 // tasks of many sizes, and no capacity left to be rented.
 func BenchmarkRound(b *testing.B) {
+	for _, machines := range []int{1900, 4000} {
+		b.Run(fmt.Sprint(machines), func(b *testing.B) { benchRound(b, machines) })
+	}
+}
+
+func benchRound(b *testing.B, machines int) {
 	in := &Input{MachineTypes: machineTypes, CloudOK: true}
-	for i := range 1900 {
+	for i := range machines {
 		machineType, used := "box", model.Resources{Cores: 9_000, Mem: 30_000}
 		if i%2 == 0 {
 			machineType, used = "gpu", model.Resources{Cores: 18_000, GPUs: 4000, Mem: 70_000}
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -7,6 +7,10 @@
 	"strings"
 	"testing"
 
+	"go.opentelemetry.io/otel"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+	"go.opentelemetry.io/otel/trace"
 	"pgregory.net/rapid"
 
 	"woadweir/internal/config"
@@ -341,6 +345,101 @@
 	}
 }
 
+// Two controllers that acquire a duty at the same time: one gets it, the other's write
+// stands in the log of rejected ones.
+func TestTwoAcquireAtOnce(t *testing.T) {
+	w := newDutyWorld(t, 13, spreadDuties)
+	w.somework(10, 5*model.Second)
+	w.Run(40 * model.Second)
+	first := w.holderOf(duty.Renting)
+	held := map[string]func(){}
+	for _, n := range w.nodes {
+		n.intercept = func(m msgCommitted) bool {
+			if n == first || pointOf(m) != beforeLease || m.txn.Then[0].Set != duty.Renting.Key() || held[n.name] != nil {
+				return false
+			}
+			held[n.name] = func() { n.commit(m) }
+			return true
+		}
+	}
+	first.crash()
+	w.Run(65 * model.Second)
+	if len(held) != 2 {
+		t.Fatalf("%d controllers acquire", len(held))
+	}
+	before, rejected := w.leaseWrites(duty.Renting), 0
+	for _, send := range held {
+		send()
+	}
+	w.Run(67 * model.Second)
+	for name := range held {
+		rejected += w.rejected(name, duty.Renting.Key())
+	}
+	if n := w.leaseWrites(duty.Renting) - before; n != 1 || rejected == 0 {
+		t.Errorf("%d acquisitions were accepted, %d rejected", n, rejected)
+	}
+	first.start()
+	w.endAll(360 * model.Second)
+	w.checkDuties()
+}
+
+// All duties on one controller, then each on another, and then all controllers but one
+// end: the duties follow, and work goes on.
+func TestDutiesFollowTheFile(t *testing.T) {
+	w := newDutyWorld(t, 14, `<duties><duty name="renting"><prefer>node-1</prefer></duty><duty name="returning"><prefer>node-1</prefer></duty>
+		<duty name="cleanup"><prefer>node-1</prefer></duty><settle-s>5</settle-s></duties>`)
+	at := func(want map[duty.Name]string) {
+		t.Helper()
+		for name, node := range want {
+			if h := w.holderOf(name); h == nil || h.name != node {
+				t.Errorf("%.0f s: %s is at %v, not at %s", w.Now.Seconds(), name, h, node)
+			}
+		}
+	}
+	w.somework(40, 5*model.Second)
+	w.Run(50 * model.Second)
+	at(map[duty.Name]string{duty.Renting: "node-1", duty.Returning: "node-1", duty.Cleanup: "node-1"})
+	w.policy = simPolicy(t, `<duties><duty name="renting"><prefer>node-0</prefer></duty><duty name="returning"><prefer>node-1</prefer></duty>
+		<duty name="cleanup"><prefer>node-2</prefer></duty><settle-s>5</settle-s></duties>`)
+	for i, n := range w.nodes {
+		w.After(model.Micros(i)*15*model.Second, func() { n.crash(); n.start() })
+	}
+	w.Run(130 * model.Second)
+	at(map[duty.Name]string{duty.Renting: "node-0", duty.Returning: "node-1", duty.Cleanup: "node-2"})
+	w.nodes[0].crash()
+	w.nodes[1].crash()
+	w.Run(160 * model.Second)
+	at(map[duty.Name]string{duty.Renting: "node-2", duty.Returning: "node-2", duty.Cleanup: "node-2"})
+	w.nodes[0].start()
+	w.nodes[1].start()
+	w.endAll(480 * model.Second)
+	w.checkDuties()
+}
+
+// The leader's decision and the call of the cloud on another controller are one trace.
+func TestTraceAcrossControllers(t *testing.T) {
+	exporter := tracetest.NewInMemoryExporter()
+	before := otel.GetTracerProvider()
+	otel.SetTracerProvider(sdktrace.NewTracerProvider(sdktrace.WithSyncer(exporter)))
+	defer otel.SetTracerProvider(before)
+	w := newDutyWorld(t, 15, spreadDuties)
+	w.somework(6, 5*model.Second)
+	w.Run(50 * model.Second)
+	w.holderOf(duty.Renting).crash()
+	w.Run(80 * model.Second)
+	names := map[trace.SpanID]string{}
+	for _, span := range exporter.GetSpans() {
+		names[span.SpanContext.SpanID()] = span.Name
+	}
+	parents := map[string]int{}
+	for _, span := range exporter.GetSpans() {
+		parents[span.Name+" of "+names[span.Parent.SpanID()]]++
+	}
+	if parents["call of intent"] < 2 || parents["acquire of "] < 3 {
+		t.Errorf("spans: %v", parents)
+	}
+}
+
 // The cleaner removes bundles of which nothing counts, under its token, and a late
 // removal does not touch what has been written since.
 func TestCleanup(t *testing.T) {
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -70,7 +70,8 @@
 // A record laid down by a version with another layout is refused, not misread.
 func TestViewRefusesOtherLayouts(t *testing.T) {
 	for path, value := range map[string]string{"job/j-1/spec": `{"ref":"j-1"}`, "job/j-1": `{"ref":"j-1","pieces":3}`,
-		"host/h1": `{"pieces":{}}`, "bound/b0/1": `{"hosts":[]}`, "else": `1`} {
+		"host/h1": `{"pieces":{}}`, "bound/b0/1": `{"hosts":[]}`, "else": `1`,
+		"duty/cooking": `{"holder":"x"}`, "duty/renting": `{"holder":7}`, "intent/rent/0": `[]`, "intent/lend/0": `{}`} {
 		if _, err := NewView().Set(path, json.RawMessage(value), 5); !errors.Is(err, ErrLayout) {
 			t.Errorf("%s: %v", path, err)
 		}
