A holder of duties that is cut off from the state service gives its session up

Need: its duties waited for the session's end, though siblings reach the state service. As for a leader, it stops acting first and has a sibling end the session.

--- a/internal/node/election.go
+++ b/internal/node/election.go
@@ -111,14 +111,15 @@
 	return up > 1
 }
 
-// considerResigning gives leadership up when a sibling can do what this
+// considerResigning gives leadership and duties up when a sibling can do what this
 // controller can't: reach the state service, or the workers. It stops acting
 // first, so its session can be ended at once and nobody has to wait until it
 // runs out. Two pings in a row have to say so.
 func (c *controller) considerResigning(m msgPinged) {
 	cut := c.suspect() && c.now-c.syncOK > 2*model.Second && len(m.helpers) > 0
 	alone := c.deserted() && m.workers > 0
-	if c.leading == nil || c.session == 0 || !cut && !alone {
+	holds := c.leading != nil || len(c.duties.held) > 0
+	if !holds || c.session == 0 || !cut && !alone {
 		c.cutPings = 0
 		return
 	}
