Intents and their outcomes before bindings and submissions, merged while they wait

Now intents and outcomes go first, a few four times a second whatever else is to be written, and a rental that is not written yet takes further machines of its kind.

TestIntentsDoNotQueueUp fails with the former order (40 s).

--- a/internal/node/carryout.go
+++ b/internal/node/carryout.go
@@ -21,8 +21,12 @@
 	callRetry   = model.Second // after a call that failed
 )
 
-// outcomeShare is the part of a controller's changes that outcomes may have at any time.
-const outcomeShare = 0.25
+// Intents and outcomes may be written this often, so many of a second's changes each
+// time, whatever else is to be written.
+const (
+	intentGap   = model.Second / 4
+	intentShare = 0.1
+)
 
 // intentCall is an open intent that this controller carries out.
 type intentCall struct {
@@ -152,7 +156,7 @@
 		return false
 	}
 	txn := &state.Txn{Guards: []state.Guard{{Path: name.Key(), Stamp: token}}}
-	most, waiting, machines := d.outcomesAtMost(), 0, 0
+	most, waiting, machines := min(c.limits.TxnOps, d.intentsAtMost(d.outcomesAt)), 0, 0
 	for _, key := range slices.Sorted(maps.Keys(d.calls)) {
 		call := d.calls[key]
 		if call.name != name || call.outcome == nil || c.view.Stamps[key] != call.stamp {
@@ -185,16 +189,17 @@
 	return true
 }
 
-// outcomesAtMost is how many outcomes may be written now. Users' changes come first, but
-// a few outcomes a second are written even if these take the whole budget: the leader
-// counts on machines that it does not know of yet.
-func (d *dutyHolder) outcomesAtMost() int {
+// intentsAtMost is how many intents, or outcomes of them, may be written now, where the
+// last were written at that time. A few are written also if bindings and users' changes
+// take the whole budget, which then waits for them: there are few, and what waits for
+// machines waits for both.
+func (d *dutyHolder) intentsAtMost(last model.Micros) int {
 	c := d.c
 	most := c.budget.Left(c.now)
-	if c.now-d.outcomesAt >= model.Second {
-		most = max(most, 1, int(c.budget.Rate()*outcomeShare))
+	if c.now-last >= intentGap {
+		most = max(most, 1, int(c.budget.Rate()*intentShare))
 	}
-	return min(c.limits.TxnOps, most)
+	return most
 }
 
 // noteWaiting reports outcomes that the budget of writes holds up.
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -228,11 +228,11 @@
 	c.startSync()
 	c.startPing()
 	c.elect()
+	c.duties.step()
 	c.pumpUsers()
 	if c.leading != nil {
 		c.lead()
 	}
-	c.duties.step()
 }
 
 func (c *controller) send(lane int, m msgCommitted) {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -204,7 +204,7 @@
 			d.noteVacancy(s, name)
 			slog.Info("duty held", "duty", name, "token", token, "previous", lease.Previous, "previous_token", lease.PreviousToken, "why", lease.Why)
 		}
-		if lease.Token != 0 {
+		if lease.Token != 0 || d.c.view.Leader == nil || !d.c.view.Leader.Duties {
 			delete(d.vacant, name)
 		} else if _, known := d.vacant[name]; !known {
 			d.vacant[name] = s.Now
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -563,3 +563,42 @@
 		}
 	}
 }
+
+// Where the state service bears few changes, intents and their outcomes do not queue up
+// behind bindings and submissions: machines would be asked for a minute late.
+func TestIntentsDoNotQueueUp(t *testing.T) {
+	w := newDeployment(t, 16, func(name string) *config.Settings {
+		s := simSettings(name)
+		s.Params.Teams = []config.Team{{Name: "red", CPUsMax: 900}, {Name: "blue", CPUsMax: 900}}
+		s.Params.State.WriteRPS = 6
+		return s
+	}, capacity(8, 2))
+	w.state.KeepLog, w.policy = true, simPolicy(t, spreadDuties)
+	for _, n := range w.nodes {
+		n.crash()
+		n.start()
+	}
+	for i := range 600 {
+		w.At(w.Now+model.Micros(i)*100*model.Millisecond, func() { w.submit(sweepJob(i, 3, 8), 0) })
+	}
+	w.Run(70 * model.Second)
+	decided, outcomes := map[string]model.Micros{}, 0
+	for _, write := range w.state.Log {
+		for _, op := range write.Txn.Then {
+			r, ok := op.Value.(duty.Rental)
+			switch at, known := decided[r.Request]; {
+			case !ok || len(write.Rejected) > 0:
+			case !known:
+				decided[r.Request] = write.At
+			case write.At-at > 4*model.Second:
+				t.Errorf("%s was decided at %.1f s and answered at %.1f s", r.Request, at.Seconds(), write.At.Seconds())
+			default:
+				outcomes++
+			}
+		}
+	}
+	if outcomes < 10 {
+		t.Errorf("%d outcomes", outcomes)
+	}
+	w.check()
+}
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -32,6 +32,7 @@
 	rentals    map[string]string       // open rental intents: request -> key
 	returns    map[string][]string     // open return intents: key -> machines
 	finishedAt map[string]model.Micros // when a rental intent was seen finished, by key
+	sentAt     model.Micros            // when intents were last written
 }
 
 func newIntentLog() intentLog {
@@ -53,8 +54,34 @@
 		Zone: rental.Zone, Spot: rental.Spot, Count: rental.Count, Grant: l.token, State: duty.Open, Trace: span.Context()}})
 }
 
-// decideReturn has machines returned through intents.
+// extendRental adds machines to a rental that is decided, but was not written yet, if
+// there is one of the same kind. Else the requests would pile up, one each round, where
+// the state service bears few changes.
+func (l *leadership) extendRental(r slack.Rental, count int) bool {
+	for _, d := range l.intents.queue {
+		if d.rental == nil || d.key != "" || d.rental.MachineType != r.MachineType || d.rental.Zone != r.Zone || d.rental.Spot != r.Spot ||
+			d.rental.Count+count > duty.RentAtMost(l.c.maxValue()) {
+			continue
+		}
+		d.rental.Count += count
+		pending := l.pendingRentals[d.rental.Request]
+		pending.Count = d.rental.Count
+		l.pendingRentals[d.rental.Request] = pending
+		return true
+	}
+	return false
+}
+
+// decideReturn has machines returned through intents, if possible with those that were
+// decided before and not written yet.
 func (l *leadership) decideReturn(machines []string) {
+	for _, d := range l.intents.queue {
+		if d.ret != nil && d.key == "" {
+			fit := min(len(machines), duty.ReturnAtMost(l.c.maxValue())-len(d.ret.Machines))
+			d.ret.Machines = append(d.ret.Machines, machines[:max(0, fit)]...)
+			machines = machines[max(0, fit):]
+		}
+	}
 	slices.Sort(machines)
 	for names := range slices.Chunk(machines, duty.ReturnAtMost(l.c.maxValue())) {
 		span := tracing.Start("", "intent", attribute.Int("machines", len(names)))
@@ -115,7 +142,10 @@
 	if c.busy[laneIntent] || l.resync || c.now < c.pauses[laneIntent] || len(l.intents.queue) == 0 {
 		return
 	}
-	most := min(c.limits.TxnOps, c.budget.Left(c.now))
+	most := min(c.limits.TxnOps, c.duties.intentsAtMost(l.intents.sentAt))
+	if most < 1 {
+		return
+	}
 	txn := &state.Txn{Guards: []state.Guard{{Path: "grant/" + blockName, Stamp: l.token}}}
 	taken := map[string]bool{}
 	names := 0
@@ -142,6 +172,7 @@
 		l.intents.inFlight = append(l.intents.inFlight, d)
 	}
 	if len(txn.Then) > 0 {
+		l.intents.sentAt = c.now
 		c.send(laneIntent, msgCommitted{txn: txn, token: l.token})
 	}
 }
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -168,8 +168,8 @@
 	}
 	l.takeOutcomes()
 	l.place()
-	l.writeBindings()
 	l.writeIntents()
+	l.writeBindings()
 	l.answerPending(false)
 	if !l.machineTypesBusy && (l.machineTypesAt == 0 || c.now-l.machineTypesAt > machineTypesGap || !l.machineTypesKnown && c.now-l.machineTypesAt > model.Second) {
 		l.machineTypesAt, l.machineTypesBusy = c.now, true
--- a/internal/node/provisioning.go
+++ b/internal/node/provisioning.go
@@ -375,6 +375,9 @@
 		most = duty.RentAtMost(l.c.maxValue())
 	}
 	for left := r.Count; left > 0; left -= most {
+		if throughIntents && l.extendRental(r, min(left, most)) {
+			continue
+		}
 		rental := cloud.Rental{RequestID: l.rentalName(), MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Count: min(left, most)}
 		l.pendingRentals[rental.RequestID] = rental
 		slog.Info("rent", "request", rental.RequestID, "type", r.MachineType, "zone", r.Zone, "spot", r.Spot, "count", rental.Count, "unplaced", unplaced)
