--- a/internal/node/carryout.go
+++ b/internal/node/carryout.go
@@ -110,7 +110,7 @@
 	call.busy = false
 	switch {
 	case err == nil || errors.Is(err, cloud.ErrNoCapacity):
-		d.cloudAnswered(nil)
+		d.cloudAnswered(err)
 		return call
 	case errors.Is(err, errTooLate):
 		call.retryAt = d.c.now
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -8,6 +8,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"go.opentelemetry.io/otel/attribute"
 
+	"woadweir/internal/cloud"
 	"woadweir/internal/core/model"
 	"woadweir/internal/duty"
 	"woadweir/internal/state"
@@ -58,7 +59,7 @@
 	stepAt, cleanAt   model.Micros
 	tickAt, lateSince model.Micros
 	lateTicks         int
-	probeAt           model.Micros
+	cloudAskedAt      model.Micros
 	outcomesAt        model.Micros // when outcomes were last written
 	cloudFailingSince model.Micros
 	waitingSince      model.Micros // since when outcomes wait for the budget
@@ -215,16 +216,18 @@
 	switch {
 	case !rents && !returns:
 		d.cloudFailingSince = 0
-	case d.c.leading == nil && s.Now-d.probeAt >= probeGap: // a leader reads the machine list anyway
-		d.probeAt = s.Now
+	case d.c.leading == nil && s.Now-d.cloudAskedAt >= probeGap: // a leader reads the machine list anyway
+		d.cloudAskedAt = s.Now
 		d.c.io.flavors()
 	}
 }
 
-// cloudAnswered takes note of whether the cloud has answered a call.
+// cloudAnswered takes note of whether the cloud has answered a call. That it is asked too
+// often, or has no capacity, is an answer.
 func (d *dutyHolder) cloudAnswered(err error) {
+	d.cloudAskedAt = d.c.now
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, cloud.ErrBusy), errors.Is(err, cloud.ErrNoCapacity):
 		d.cloudFailingSince = 0
 	case d.cloudFailingSince == 0:
 		d.cloudFailingSince = d.c.now
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 	"pgregory.net/rapid"
 
+	"woadweir/internal/cloud"
 	"woadweir/internal/config"
 	"woadweir/internal/core/model"
 	"woadweir/internal/duty"
@@ -238,6 +239,21 @@
 	w.checkDuties()
 }
 
+// A cloud that is asked too often, or has no capacity, does answer.
+func TestBusyCloudIsReached(t *testing.T) {
+	w := newDutyWorld(t, 17, spreadDuties)
+	w.Run(20 * model.Second)
+	d := w.nodes[0].ctl.duties
+	for _, err := range []error{cloud.ErrBusy, cloud.ErrNoCapacity, nil} {
+		if d.cloudAnswered(cloud.ErrTrouble); d.cloudFailingSince == 0 {
+			t.Error("trouble is no answer")
+		}
+		if d.cloudAnswered(err); d.cloudFailingSince != 0 {
+			t.Errorf("%v is an answer", err)
+		}
+	}
+}
+
 // leaseWrites counts the accepted writes of a duty's lease.
 func (w *world) leaseWrites(name duty.Name) (n int) {
 	for _, write := range w.state.Log {
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -89,7 +89,7 @@
 	away    map[string]string // machines that can't reach the node
 	deaf    map[string]bool   // machines whose reports arrive, but which hear nothing
 	copies  float64           // chance that a report arrives once more, up to copyLate later
-	repeats float64           // chance that a request to the state service is carried out once more
+	repeats float64           // chance that a request to the state service or the cloud is carried out once more
 	relayed int               // reports that were handed on and answered
 	heard   []func()          // every report as it was delivered, if record is set
 	record  bool
@@ -572,6 +572,7 @@
 			return m
 		}
 		m.machines, m.err = n.w.cloud.Rent(&m.rental)
+		n.w.cloudAgain(func() { _, _ = n.w.cloud.Rent(&m.rental) })
 		return m
 	})
 }
@@ -587,10 +588,18 @@
 			return m
 		}
 		m.err = n.w.cloud.Delete(m.refs)
+		n.w.cloudAgain(func() { _ = n.w.cloud.Delete(m.refs) })
 		return m
 	})
 }
 
+// cloudAgain has a late copy of a call carried out, if copies come late in this world.
+func (w *world) cloudAgain(call func()) {
+	if w.repeats > 0 && w.Chance(w.repeats) {
+		w.After(w.Between(model.Second, 60*model.Second), call)
+	}
+}
+
 func (n *simNode) ping() {
 	life := n.life
 	n.w.After(2*model.Millisecond, func() {
