Duties wait for the version that each controller has run last

Cause, found on reading: a controller that went back to production in the middle of an upgrade still counted as upgraded, so the leader would write records at which it stops. Its last node key counts now. The test of upgrades has it, seen failing (production stops at duty/renting).

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -92,7 +92,19 @@
 // wanted tells whether a leader is to rent and return through intents: somebody has
 // begun to, or the operators want it and every controller understands the records.
 func (d *dutyHolder) wanted() bool {
-	return d.recorded() || d.candidate && d.c.allRead(state.LayoutDuties)
+	return d.recorded() || d.candidate && d.understood()
+}
+
+// understood tells whether every controller reads the records of duties, by the version
+// that each has run last: one may have gone back to the version before in the middle of
+// an upgrade, and would stop at them.
+func (d *dutyHolder) understood() bool {
+	c := d.c
+	all := c.view.Layouts[c.set.NodeName] >= state.LayoutDuties
+	for _, s := range c.set.Siblings {
+		all = all && c.view.Layouts[s.NodeName] >= state.LayoutDuties
+	}
+	return all
 }
 
 // ticked notes how late this actor is.
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -317,11 +317,21 @@
 	if len(w2.cloud.Calls) == 0 {
 		t.Error("nothing was rented beside production")
 	}
-	n := w2.nodes[2]
-	n.crash()
-	n.old = false
-	n.start()
-	w2.Run(160 * model.Second)
+	// One goes back to production before the last is upgraded.
+	version := func(n *simNode, old bool) {
+		n.crash()
+		n.old = old
+		n.start()
+	}
+	version(w2.nodes[1], true)
+	w2.Run(115 * model.Second)
+	version(w2.nodes[2], false)
+	w2.Run(135 * model.Second)
+	if n := w2.state.Keys("duty/") + w2.state.Keys("intent/"); n > 0 {
+		t.Errorf("%d records of duties beside one that went back to production", n)
+	}
+	version(w2.nodes[1], false)
+	w2.Run(190 * model.Second)
 	if w2.state.Keys("duty/") != len(duty.Movable) {
 		t.Errorf("%d duties are held once all are upgraded", w2.state.Keys("duty/"))
 	}
