--- a/internal/node/pause_test.go
+++ b/internal/node/pause_test.go
@@ -25,6 +25,8 @@
 	deleteAnswer
 	leaseAnswer
 	intentAnswer
+	beforeRenewal
+	renewalAnswer
 	pausePoints
 )
 
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -336,6 +336,9 @@
 }
 
 func (n *simNode) sessionCall(call lead.Call, life int) {
+	if n.alive && n.life == life && call.Kind == lead.CallTouch {
+		n.reaches(beforeRenewal)
+	}
 	if !n.alive || n.life != life || n.stopped(func() { n.sessionCall(call, life) }) {
 		return
 	}
@@ -393,6 +396,9 @@
 }
 
 func (n *simNode) sessionReply(r lead.Reply, life int) {
+	if n.alive && n.life == life {
+		n.reaches(renewalAnswer)
+	}
 	if !n.alive || n.life != life || n.stopped(func() { n.sessionReply(r, life) }) {
 		return
 	}
