--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -67,11 +67,17 @@
 	for name, l := range c.view.Layouts {
 		c.layouts[name] = max(c.layouts[name], l)
 	}
-	all := c.layouts[c.set.NodeName] >= layout
+	return c.allHave(c.layouts, layout)
+}
+
+// allHave tells whether all controllers have at least that layout.
+func (c *controller) allHave(layouts map[string]int, layout int) bool {
 	for _, s := range c.set.Siblings {
-		all = all && c.layouts[s.NodeName] >= layout
+		if layouts[s.NodeName] < layout {
+			return false
+		}
 	}
-	return all
+	return layouts[c.set.NodeName] >= layout
 }
 
 // tighten makes what is written smaller, after the state service has refused as too
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -99,12 +99,7 @@
 // that each has run last: one may have gone back to the version before in the middle of
 // an upgrade, and would stop at them.
 func (d *dutyHolder) understood() bool {
-	c := d.c
-	all := c.view.Layouts[c.set.NodeName] >= state.LayoutDuties
-	for _, s := range c.set.Siblings {
-		all = all && c.view.Layouts[s.NodeName] >= state.LayoutDuties
-	}
-	return all
+	return d.c.allHave(d.c.view.Layouts, state.LayoutDuties)
 }
 
 // ticked notes how late this actor is.
