Outcomes that wait are reported again; the block's name, requests and counts said once

Found on reading the whole change. Since a few outcomes are written every quarter of a second, the report of waiting ones could never be made, and a holder of both duties reset it at once; now each outcome that waits for more than 5 s is reported once, by its intent.

The block's name stood in two packages, a rental's request was made from its intent in two places, and the policy was kept in a field that nothing read. A controller preferred twice is found also where blanks differ (the test has them now).

--- a/internal/duty/policy.go
+++ b/internal/duty/policy.go
@@ -86,13 +86,13 @@
 	seen := map[Name]bool{}
 	for i := range s.Duties {
 		d := &s.Duties[i]
-		if err := policy.add(d, nodes); err != nil {
-			return nil, err
-		}
 		if seen[Name(d.Name)] {
 			return nil, &FieldError{"duty " + d.Name, "named twice"}
 		}
 		seen[Name(d.Name)] = true
+		if err := policy.add(d, nodes); err != nil {
+			return nil, err
+		}
 	}
 	return policy, nil
 }
@@ -141,12 +141,12 @@
 	default:
 		return &FieldError{field, fmt.Sprintf("unknown place %q", d.Place)}
 	}
-	for i, prefer := range d.Prefer {
+	for _, prefer := range d.Prefer {
 		node := strings.TrimSpace(prefer)
 		if !slices.Contains(nodes, node) {
 			return &FieldError{field, fmt.Sprintf("unknown controller %q", node)}
 		}
-		if slices.Contains(d.Prefer[:i], prefer) {
+		if slices.Contains(p.Listed[name], node) {
 			return &FieldError{field, fmt.Sprintf("controller %q is preferred twice", node)}
 		}
 		p.Listed[name] = append(p.Listed[name], node)
--- a/internal/duty/policy_test.go
+++ b/internal/duty/policy_test.go
@@ -15,19 +15,19 @@
 func TestBadSettings(t *testing.T) {
 	for file, want := range map[string][2]string{
 		`<duties`: {"duties", "XML"},
-		`<duties><duty name="cooking"/></duties>`:                                           {"duty cooking", "unknown duty"},
-		`<duties><duty name="reclaiming" place="spread"/></duties>`:                         {"duty reclaiming", "stays with"},
-		`<duties><duty name="renting" place="moon"/></duties>`:                              {"duty renting", "unknown place"},
-		`<duties><duty name="renting" place="listed"/></duties>`:                            {"duty renting", "nobody may hold it"},
-		`<duties><duty name="renting"><prefer>d</prefer></duty></duties>`:                   {"duty renting", `unknown controller "d"`},
-		`<duties><duty name="renting"><prefer>a</prefer><prefer>a</prefer></duty></duties>`: {"duty renting", "twice"},
-		`<duties><duty name="renting" place="spread"><prefer>a</prefer></duty></duties>`:    {"duty renting", "names no controllers"},
-		`<duties><duty name="renting"/><duty name="renting"/></duties>`:                     {"duty renting", "named twice"},
-		`<duties><settle-s>0</settle-s></duties>`:                                           {"settle-s", "not between"},
-		`<duties><cooldown-s>NaN</cooldown-s></duties>`:                                     {"cooldown-s", "not between"},
-		`<duties><lease-s>1</lease-s></duties>`:                                             {"lease-s", "shorter than is useful"},
-		`<duties><lease-s>-4</lease-s></duties>`:                                            {"lease-s", "shorter than is useful"},
-		`<duties><lease-s>11</lease-s></duties>`:                                            {"lease-s", "longer than is safe"},
+		`<duties><duty name="cooking"/></duties>`:                                             {"duty cooking", "unknown duty"},
+		`<duties><duty name="reclaiming" place="spread"/></duties>`:                           {"duty reclaiming", "stays with"},
+		`<duties><duty name="renting" place="moon"/></duties>`:                                {"duty renting", "unknown place"},
+		`<duties><duty name="renting" place="listed"/></duties>`:                              {"duty renting", "nobody may hold it"},
+		`<duties><duty name="renting"><prefer>d</prefer></duty></duties>`:                     {"duty renting", `unknown controller "d"`},
+		`<duties><duty name="renting"><prefer>a</prefer><prefer> a </prefer></duty></duties>`: {"duty renting", "twice"},
+		`<duties><duty name="renting" place="spread"><prefer>a</prefer></duty></duties>`:      {"duty renting", "names no controllers"},
+		`<duties><duty name="renting"/><duty name="renting"/></duties>`:                       {"duty renting", "named twice"},
+		`<duties><settle-s>0</settle-s></duties>`:                                             {"settle-s", "not between"},
+		`<duties><cooldown-s>NaN</cooldown-s></duties>`:                                       {"cooldown-s", "not between"},
+		`<duties><lease-s>1</lease-s></duties>`:                                               {"lease-s", "shorter than is useful"},
+		`<duties><lease-s>-4</lease-s></duties>`:                                              {"lease-s", "shorter than is useful"},
+		`<duties><lease-s>11</lease-s></duties>`:                                              {"lease-s", "longer than is safe"},
 	} {
 		_, err := ParseSettings([]byte(file), threeNodes, 10*model.Second)
 		var field *FieldError
--- a/internal/node/carryout.go
+++ b/internal/node/carryout.go
@@ -35,7 +35,11 @@
 	busy    bool         // a request is on its way
 	retryAt model.Micros // after a failure
 	outcome any          // the record to be written, nil: none yet
-	span    tracing.Span
+	// answeredAt is when the outcome was known, and reported tells that it has waited
+	// for long to be written, which was logged.
+	answeredAt model.Micros
+	reported   bool
+	span       tracing.Span
 }
 
 // carryOut sends the requests of open intents under the duties that this controller
@@ -92,8 +96,12 @@
 }
 
 func (d *dutyHolder) callRent(key string, r *duty.Rental) {
-	rental := cloud.Rental{RequestID: r.Request, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Count: r.Count}
-	d.c.io.rent(msgRented{rental: rental, carryOut: d.begin(key, duty.Renting, r.Trace)})
+	d.c.io.rent(msgRented{rental: requestOf(r), carryOut: d.begin(key, duty.Renting, r.Trace)})
+}
+
+// requestOf is the request by which a rental intent is carried out.
+func requestOf(r *duty.Rental) cloud.Rental {
+	return cloud.Rental{RequestID: r.Request, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Count: r.Count}
 }
 
 func (d *dutyHolder) callDelete(key string, r *duty.Return) {
@@ -107,7 +115,7 @@
 	if call == nil || call.stamp != m.stamp {
 		return nil
 	}
-	call.busy = false
+	call.busy, call.answeredAt = false, d.c.now
 	switch {
 	case err == nil || errors.Is(err, cloud.ErrNoCapacity):
 		d.cloudAnswered(err)
@@ -156,13 +164,16 @@
 		return false
 	}
 	txn := &state.Txn{Guards: []state.Guard{{Path: name.Key(), Stamp: token}}}
-	most, waiting, machines := min(c.limits.TxnOps, d.intentsAtMost(d.outcomesAt)), 0, 0
+	most, machines := min(c.limits.TxnOps, d.intentsAtMost(d.outcomesAt)), 0
 	for _, key := range slices.Sorted(maps.Keys(d.calls)) {
 		call := d.calls[key]
 		if call.name != name || call.outcome == nil || c.view.Stamps[key] != call.stamp {
 			continue
 		}
-		waiting++
+		if !call.reported && c.now-call.answeredAt > outcomePatience {
+			call.reported = true
+			slog.Info("an outcome waits to be written", "duty", name, "intent", key, "s", (c.now - call.answeredAt).Seconds())
+		}
 		if len(txn.Then) >= most || machines > maxTxnMachines {
 			continue
 		}
@@ -180,7 +191,6 @@
 		txn.Guards = append(txn.Guards, state.Guard{Path: key, Stamp: call.stamp})
 		txn.Then = append(txn.Then, state.Op{Set: key, Value: outcome})
 	}
-	d.noteWaiting(name, waiting, len(txn.Then))
 	if len(txn.Then) == 0 {
 		return false
 	}
@@ -201,17 +211,3 @@
 	}
 	return most
 }
-
-// noteWaiting reports outcomes that the budget of writes holds up.
-func (d *dutyHolder) noteWaiting(name duty.Name, waiting, sent int) {
-	now := d.c.now
-	switch {
-	case waiting == 0 || sent > 0:
-		d.waitingSince, d.waitingReported = 0, false
-	case d.waitingSince == 0:
-		d.waitingSince = now
-	case !d.waitingReported && now-d.waitingSince > budgetPatience:
-		d.waitingReported = true
-		slog.Info("outcomes wait for the budget of writes", "duty", name, "outcomes", waiting, "s", (now - d.waitingSince).Seconds())
-	}
-}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -27,7 +27,7 @@
 )
 
 // blockName names the one block of the present policy: the leader holds it.
-const blockName = "b0"
+const blockName = state.FirstBlock
 
 // writeShare is a controller's part of the changes that the state service bears:
 // half are the leader's, the others share the rest. As long as nothing is
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -17,9 +17,9 @@
 
 // Rhythm of a controller's duties.
 const (
-	dutyGap        = 20 * model.Millisecond
-	cleanGap       = 5 * model.Second
-	budgetPatience = 5 * model.Second // outcomes that wait for longer are reported
+	dutyGap         = 20 * model.Millisecond
+	cleanGap        = 5 * model.Second
+	outcomePatience = 5 * model.Second // outcomes that wait for longer are reported
 )
 
 // What makes a controller overloaded: ticks that come so late, so many in a row, for so
@@ -44,7 +44,6 @@
 // intents out and cleans up. It is part of the controller actor.
 type dutyHolder struct {
 	c         *controller
-	policy    *duty.Policy
 	candidate bool // it may hold duties without leading
 	keeper    *duty.Keeper
 	cleaner   *duty.Cleaner
@@ -62,8 +61,6 @@
 	cloudAskedAt      model.Micros
 	outcomesAt        model.Micros // when outcomes were last written
 	cloudFailingSince model.Micros
-	waitingSince      model.Micros // since when outcomes wait for the budget
-	waitingReported   bool
 }
 
 // leaseWrite is a write to a duty's lease.
@@ -73,12 +70,12 @@
 }
 
 func newDutyHolder(c *controller, policy *duty.Policy) *dutyHolder {
-	d := &dutyHolder{c: c, policy: policy, candidate: policy != nil, cleaner: duty.NewCleaner(), nodes: map[string]duty.Node{},
+	d := &dutyHolder{c: c, candidate: policy != nil, cleaner: duty.NewCleaner(), nodes: map[string]duty.Node{},
 		held: map[duty.Name]uint64{}, vacant: map[duty.Name]model.Micros{}, vacancies: hdrhistogram.New(1, vacancyMostMs, vacancyDigits), calls: map[string]*intentCall{}}
 	if policy == nil {
-		d.policy = duty.LeaderOnly()
+		policy = duty.LeaderOnly()
 	}
-	d.keeper = duty.NewKeeper(d.policy)
+	d.keeper = duty.NewKeeper(policy)
 	return d
 }
 
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -232,7 +232,7 @@
 		switch r.State {
 		case duty.Open:
 			l.intents.rentals[r.Request] = key
-			l.pendingRentals[r.Request] = cloud.Rental{RequestID: r.Request, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Count: r.Count}
+			l.pendingRentals[r.Request] = requestOf(r)
 		case duty.Filled:
 			l.adopt(r)
 		}
--- a/internal/state/duties.go
+++ b/internal/state/duties.go
@@ -9,8 +9,9 @@
 	"woadweir/internal/duty"
 )
 
-// firstBlock is the block whose holder reclaims work from lost machines.
-const firstBlock = "b0"
+// FirstBlock names the one block of the present policy. Its holder reclaims work from lost
+// machines.
+const FirstBlock = "b0"
 
 // Duties reads who holds which duty.
 func (c *Client) Duties(timeout model.Micros) ([]duty.Status, error) {
@@ -24,7 +25,7 @@
 		list = append(list, duty.StatusOf(name, duty.Held{Lease: lease, Token: stamp}))
 	}
 	var grant GrantRecord
-	stamp, err := c.read("grant/"+firstBlock, &grant, timeout)
+	stamp, err := c.read("grant/"+FirstBlock, &grant, timeout)
 	if err != nil {
 		return nil, err
 	}
