Spill between cells: lending under a lease, with tests over three cells

Need: a burst in one cell is to run in idle ones and come back, each job ending once.

internal/spill is the pure core (settings, right, lending at home, hosting in the guest), internal/cellrpc the calls between cells (gRPC, checked by protovalidate), internal/node the actors' part. The block learns to suspend a job and to host one of another cell, whose progress and end its home stores.

Found by drawn schedules: a team over its limit, as a lent job's reservation ended with the job while the guest still had tasks of it; the record now stays until the guest has told that nothing is left, or its leases are over. And a waiting job was lent while machines for it were booting: those count as room now.

./test passes (1 min 47 s).

--- a/cmd/woadweir/main.go
+++ b/cmd/woadweir/main.go
@@ -28,6 +28,7 @@
 	Config   string `required:"" placeholder:"PATH" help:"The platform's settings file (TOML)."`
 	Operator string `placeholder:"PATH" help:"The operators' own settings (XML). Without it, defaults hold."`
 	Duties   string `placeholder:"PATH" help:"Which controllers hold single-holder duties (XML). Without it, the leader does everything."`
+	Spill    string `placeholder:"PATH" help:"Which other cells jobs are lent to and taken from (XML). Without it, none."`
 }
 
 func (f *files) load() (*config.Settings, *config.Operator, error) {
@@ -39,7 +40,10 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	o.Duties, err = config.LoadDuties(f.Duties, s, o)
+	if o.Duties, err = config.LoadDuties(f.Duties, s, o); err != nil {
+		return nil, nil, err
+	}
+	o.Spill, err = config.LoadSpill(f.Spill, s)
 	return s, o, err
 }
 
--- /dev/null
+++ b/internal/cellrpc/cellrpc.go
@@ -0,0 +1,196 @@
+// Package cellrpc carries the calls between cells: gRPC, with every message checked
+// against the rules in cell.proto.
+package cellrpc
+
+//go:generate ./generate.sh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"buf.build/go/protovalidate"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	"woadweir/internal/core/model"
+	"woadweir/internal/spill"
+)
+
+// Handler answers other cells' calls. An error of spill.ErrNotHolder means that another
+// controller has to be asked.
+type Handler interface {
+	Offer(offer *spill.Offer) (*spill.OfferAnswer, error)
+	Renew(renewal *spill.Renewal) (*spill.RenewalAnswer, error)
+}
+
+// validator is made when the first message is checked.
+var validator = sync.OnceValues(func() (protovalidate.Validator, error) { return protovalidate.New() })
+
+// check validates a message; the error names the field at fault.
+func check(m proto.Message) error {
+	v, err := validator()
+	if err != nil {
+		return err
+	}
+	return v.Validate(m)
+}
+
+type server struct {
+	UnimplementedCellServer
+	handler Handler
+}
+
+// Register adds the service to a server.
+func Register(s grpc.ServiceRegistrar, handler Handler) {
+	RegisterCellServer(s, &server{handler: handler})
+}
+
+func (s *server) Offer(_ context.Context, r *OfferRequest) (*OfferReply, error) {
+	if err := check(r); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	spec, err := model.DecodeSubmission(r.GetSpec())
+	if err != nil {
+		return nil, status.Error(codes.InvalidArgument, "spec: "+err.Error())
+	}
+	a, err := s.handler.Offer(&spill.Offer{Home: r.GetHome(), Token: r.GetToken(), Spec: spec, Done: r.GetDone()})
+	if err != nil {
+		return nil, asStatus(err)
+	}
+	return &OfferReply{Cell: a.Cell, Refusal: string(a.Refusal), Detail: a.Detail, RetryAfterUs: int64(a.RetryAfter), WorkerLeaseUs: int64(a.WorkerLease)}, nil
+}
+
+func (s *server) Renew(_ context.Context, r *RenewRequest) (*RenewReply, error) {
+	if err := check(r); err != nil {
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	renewal := &spill.Renewal{Guest: r.GetGuest(), WorkerLease: model.Micros(r.GetWorkerLeaseUs())}
+	for _, j := range r.GetJobs() {
+		renewal.Jobs = append(renewal.Jobs, spill.JobReport{Job: j.GetJob(), Token: j.GetToken(), Returned: j.GetReturned(), Complete: j.GetComplete(),
+			Running: int(j.GetRunning()), Done: j.GetDone()})
+	}
+	a, err := s.handler.Renew(renewal)
+	if err != nil {
+		return nil, asStatus(err)
+	}
+	reply := &RenewReply{Home: a.Home, AgeUs: int64(a.Age)}
+	for _, v := range a.Jobs {
+		reply.Jobs = append(reply.Jobs, &Verdict{Job: v.Job, Token: v.Token, Kind: Verdict_Kind(v.Kind), End: v.End, Confirmed: v.Confirmed, LeaseUs: int64(v.Lease)})
+	}
+	return reply, nil
+}
+
+// asStatus tells a caller whether another controller may answer.
+func asStatus(err error) error {
+	if errors.Is(err, spill.ErrNotHolder) {
+		return status.Error(codes.FailedPrecondition, err.Error())
+	}
+	return status.Error(codes.Unavailable, err.Error())
+}
+
+// Client calls one other cell, at whichever of its controllers holds the block.
+type Client struct {
+	cell        string
+	mu          sync.Mutex
+	controllers []CellClient
+	last        int // the controller that answered last
+}
+
+// Dial prepares a client; it connects when it is first used.
+func Dial(cell string, addresses []string) (*Client, error) {
+	c := &Client{cell: cell}
+	for _, address := range addresses {
+		conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		if err != nil {
+			return nil, err
+		}
+		c.controllers = append(c.controllers, NewCellClient(conn))
+	}
+	return c, nil
+}
+
+// controllerPatience is how long one controller may take.
+const controllerPatience = 800 * time.Millisecond
+
+// call asks the controllers in turn, beginning with the one that answered last.
+func (c *Client) call(ctx context.Context, ask func(context.Context, CellClient) error) error {
+	c.mu.Lock()
+	first := c.last
+	c.mu.Unlock()
+	err := spill.ErrUnreachable
+	for i := range c.controllers {
+		k := (first + i) % len(c.controllers)
+		once, cancel := context.WithTimeout(ctx, controllerPatience)
+		err = ask(once, c.controllers[k])
+		cancel()
+		if err == nil {
+			c.mu.Lock()
+			c.last = k
+			c.mu.Unlock()
+			return nil
+		}
+		if status.Code(err) == codes.InvalidArgument {
+			break
+		}
+	}
+	return fmt.Errorf("%w: %v", spill.ErrUnreachable, err)
+}
+
+// checkCell checks an answer, and that the cell is the one it is taken for.
+func (c *Client) checkCell(m proto.Message, name string) error {
+	if err := check(m); err != nil {
+		return err
+	}
+	if name != c.cell {
+		return fmt.Errorf("the cell calls itself %q, not %q", name, c.cell)
+	}
+	return nil
+}
+
+// Offer offers the cell a job.
+func (c *Client) Offer(ctx context.Context, o *spill.Offer, spec []byte) (*spill.OfferAnswer, error) {
+	var reply *OfferReply
+	err := c.call(ctx, func(ctx context.Context, rpc CellClient) (err error) {
+		reply, err = rpc.Offer(ctx, &OfferRequest{Home: o.Home, Token: o.Token, Spec: spec, Done: o.Done})
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checkCell(reply, reply.GetCell()); err != nil {
+		return nil, err
+	}
+	return &spill.OfferAnswer{Cell: reply.GetCell(), Refusal: spill.Refusal(reply.GetRefusal()), Detail: reply.GetDetail(),
+		RetryAfter: model.Micros(reply.GetRetryAfterUs()), WorkerLease: model.Micros(reply.GetWorkerLeaseUs())}, nil
+}
+
+// Renew asks the cell for the right to run what it has lent.
+func (c *Client) Renew(ctx context.Context, r *spill.Renewal) (*spill.RenewalAnswer, error) {
+	request := &RenewRequest{Guest: r.Guest, WorkerLeaseUs: int64(r.WorkerLease)}
+	for _, j := range r.Jobs {
+		request.Jobs = append(request.Jobs, &JobReport{Job: j.Job, Token: j.Token, Returned: j.Returned, Complete: j.Complete, Running: uint32(j.Running), Done: j.Done})
+	}
+	var reply *RenewReply
+	err := c.call(ctx, func(ctx context.Context, rpc CellClient) (err error) {
+		reply, err = rpc.Renew(ctx, request)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err := c.checkCell(reply, reply.GetHome()); err != nil {
+		return nil, err
+	}
+	answer := &spill.RenewalAnswer{Home: reply.GetHome(), Age: model.Micros(reply.GetAgeUs())}
+	for _, v := range reply.GetJobs() {
+		answer.Jobs = append(answer.Jobs, spill.Verdict{Job: v.GetJob(), Token: v.GetToken(), Kind: spill.VerdictKind(v.GetKind()), End: v.GetEnd(),
+			Confirmed: v.GetConfirmed(), Lease: model.Micros(v.GetLeaseUs())})
+	}
+	return answer, nil
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -18,6 +18,7 @@
 	"woadweir/internal/core/lead"
 	"woadweir/internal/core/model"
 	"woadweir/internal/duty"
+	"woadweir/internal/spill"
 )
 
 // Sibling is another controller.
@@ -304,6 +305,8 @@
 	RefusedPauseS     Number   `xml:"refused-pause-s"`
 	// Duties is the duties file, nil without one.
 	Duties *duty.Policy `xml:"-"`
+	// Spill is the spill file, nil without one.
+	Spill *spill.Policy `xml:"-"`
 }
 
 // Number is a decimal number in an element; what is none is reported with the
--- /dev/null
+++ b/internal/config/spill.go
@@ -0,0 +1,27 @@
+package config
+
+import (
+	"fmt"
+	"os"
+
+	"woadweir/internal/core/model"
+	"woadweir/internal/spill"
+)
+
+// LoadSpill reads and checks the spill file against the deployment's settings; an empty
+// path gives nil: nothing is lent to other cells, nor taken from them.
+func LoadSpill(path string, s *Settings) (*spill.Policy, error) {
+	if path == "" {
+		return nil, nil
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	workers := &s.Params.Workers
+	policy, err := spill.ParseSettings(raw, model.Seconds(workers.LeaseS), model.Seconds(workers.CancelS))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return policy, nil
+}
--- a/internal/core/block/commands.go
+++ b/internal/core/block/commands.go
@@ -53,7 +53,7 @@
 	var starts []*model.Binding
 	for id, b := range m.Bindings {
 		js := h.Jobs[id.Job]
-		if b.Version > m.DurableVersion || b.Stopping || b.Seen || js.Ended != "" || js.EndPending || js.Done.Has(id.Index) || reported[id] == b.Attempt {
+		if b.Version > m.DurableVersion || b.Stopping || b.Seen || js.Ended != "" || js.EndPending || js.Suspended || js.Done.Has(id.Index) || reported[id] == b.Attempt {
 			continue
 		}
 		if js.Kind == model.Gang && (js.AttemptFailed || !h.gangDurable(js) || h.startsLater(js, b)) {
--- a/internal/core/block/done.go
+++ b/internal/core/block/done.go
@@ -9,6 +9,9 @@
 // pushDone notes that finished tasks of a job are to be written: the part of them
 // that task n is in.
 func (h *State) pushDone(js *model.JobState, n int) {
+	if js.HomeCell != "" {
+		return // its home stores that
+	}
 	if len(js.DoneVersions) == 1 {
 		js.DoneVersions[0].Now++
 		h.push(DoneEntry + js.ID)
@@ -42,6 +45,9 @@
 // isDurable tells that the completion of a task is durable, or will be with the
 // job's end.
 func isDurable(js *model.JobState, n int) bool {
+	if js.HomeCell != "" {
+		return js.Confirmed.Has(n)
+	}
 	v := js.DoneVersions[0]
 	if len(js.DoneVersions) > 1 {
 		v = js.DoneVersions[n/model.TasksPerPart]
--- a/internal/core/block/jobs.go
+++ b/internal/core/block/jobs.go
@@ -58,6 +58,8 @@
 	if js.Ended == "" && !js.EndPending {
 		js.EndPending = true
 		js.Waiting = nil
-		h.ends = append(h.ends, js.ID)
+		if js.HomeCell == "" { // else its home writes the end
+			h.ends = append(h.ends, js.ID)
+		}
 	}
 }
--- a/internal/core/block/reports.go
+++ b/internal/core/block/reports.go
@@ -193,9 +193,7 @@
 	if !js.Done.Add(id.Index) {
 		return
 	}
-	if i, ok := slices.BinarySearch(js.Waiting, id.Index); ok {
-		js.Waiting = slices.Delete(js.Waiting, i, i+1)
-	}
+	h.noLongerWaits(js, id.Index)
 	if js.Done.Len() >= js.Tasks {
 		h.requestEnd(js)
 		return
--- a/internal/core/block/world.go
+++ b/internal/core/block/world.go
@@ -16,7 +16,7 @@
 	var beside model.Resources
 	wanted := map[string]model.Milli{}
 	for _, j := range h.Jobs {
-		if j.Ended != "" {
+		if j.Ended != "" || j.Suspended {
 			continue
 		}
 		w.Jobs = append(w.Jobs, j)
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -253,6 +253,13 @@
 	ReadySince     Micros
 	HasRun         bool   // a task of it has run
 	IdleSince      Micros // since when nothing of it is bound
+	// Suspended tells that no task of it may be bound or started now: it is lent to another
+	// cell, or lent by one without a right to run it.
+	Suspended bool
+	// HomeCell is the cell that has lent it, "": it is a job of this one. Confirmed are then
+	// the finished tasks that its home has stored.
+	HomeCell  string
+	Confirmed Set
 	// What a placement round thinks of it.
 	WithinGuarantee bool // within its team's guarantee
 	GuaranteeInTime bool // and can still start in the time that such work is to start in
--- a/internal/core/model/job.go
+++ b/internal/core/model/job.go
@@ -101,6 +101,16 @@
 	return sub, ref, sub.check()
 }
 
+// DecodeSubmission reads and checks a submission as it is stored, and as one cell sends
+// it to another.
+func DecodeSubmission(raw []byte) (*Submission, error) {
+	sub := new(Submission)
+	if err := json.Unmarshal(raw, sub); err != nil {
+		return nil, err
+	}
+	return sub, sub.check()
+}
+
 // ValidJobID tells whether s has the form of a job id and can be part of a key.
 func ValidJobID(s string) bool {
 	rest, ok := strings.CutPrefix(s, "j-")
--- a/internal/node/catchup.go
+++ b/internal/node/catchup.go
@@ -88,7 +88,7 @@
 		} else if !l.ready && c.view.Epoch >= l.token {
 			l.takeOver()
 		}
-		l.resync = false
+		l.resync, l.spill.resync = false, false
 	}
 	c.duties.resync = false
 	for _, f := range waiters {
@@ -101,6 +101,7 @@
 func (c *controller) apply(e *state.Event) error {
 	if e.Drop != "" {
 		c.view.Drop(e.Drop, e.Stamp)
+		c.spillNews(e.Drop)
 		return nil
 	}
 	if set, err := c.view.Set(e.Set, e.Value, e.Stamp); !set || err != nil {
@@ -109,9 +110,17 @@
 	if ref, ok := strings.CutPrefix(e.Set, jobPrefix); ok {
 		c.jobNews(ref)
 	}
+	c.spillNews(e.Set)
 	return nil
 }
 
+// spillNews tells the holder of a record of spilling that has changed.
+func (c *controller) spillNews(key string) {
+	if strings.HasPrefix(key, "spill/") && c.leading != nil && c.leading.ready {
+		c.leading.spill.recordNews(key)
+	}
+}
+
 // jobNews tells the holder what the view says of a job.
 func (c *controller) jobNews(ref string) {
 	if c.leading != nil && c.leading.ready {
--- /dev/null
+++ b/internal/node/cells.go
@@ -0,0 +1,161 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"woadweir/internal/cellrpc"
+	"woadweir/internal/core/model"
+	"woadweir/internal/spill"
+)
+
+// cellCalls is what the controller actor may ask of other cells. Every answer comes back
+// as a message.
+type cellCalls interface {
+	offer(m msgOffered)
+	renew(m msgRenewed)
+}
+
+// The messages of spilling.
+type (
+	// msgOffered is the end of an offer to another cell.
+	msgOffered struct {
+		cell, job string
+		offer     *spill.Offer
+		answer    *spill.OfferAnswer
+		err       error
+		sent      model.Micros
+		term      uint64
+	}
+	// msgRenewed is the end of a question for the right to run lent jobs.
+	msgRenewed struct {
+		home    string
+		renewal *spill.Renewal
+		answer  *spill.RenewalAnswer
+		err     error
+		sent    model.Micros
+		term    uint64
+	}
+	// msgOffer and msgRenewal are other cells' calls.
+	msgOffer struct {
+		offer *spill.Offer
+		reply chan<- offerReply
+	}
+	msgRenewal struct {
+		renewal *spill.Renewal
+		reply   chan<- renewalReply
+	}
+)
+
+type offerReply struct {
+	answer *spill.OfferAnswer
+	err    error
+}
+
+type renewalReply struct {
+	answer *spill.RenewalAnswer
+	err    error
+}
+
+// cellPatience is how long a call to another cell may take.
+const cellPatience = 2 * time.Second
+
+// cellIO carries the calls out, each in a goroutine of its own.
+type cellIO struct {
+	io      *inputOutput
+	clients map[string]*cellrpc.Client
+}
+
+func newCellIO(io *inputOutput, policy *spill.Policy) (*cellIO, error) {
+	cells := &cellIO{io: io, clients: map[string]*cellrpc.Client{}}
+	for i := range policy.Neighbours {
+		n := &policy.Neighbours[i]
+		client, err := cellrpc.Dial(n.Cell, n.Controllers)
+		if err != nil {
+			return nil, err
+		}
+		cells.clients[n.Cell] = client
+	}
+	return cells, nil
+}
+
+func (x *cellIO) offer(m msgOffered) {
+	go func() {
+		ctx, cancel := context.WithTimeout(x.io.ctx, cellPatience)
+		defer cancel()
+		m.err = spill.ErrUnreachable
+		if client := x.clients[m.cell]; client != nil {
+			var spec []byte
+			if spec, m.err = json.Marshal(m.offer.Spec); m.err == nil {
+				m.answer, m.err = client.Offer(ctx, m.offer, spec)
+			}
+		}
+		x.io.send(m)
+	}()
+}
+
+func (x *cellIO) renew(m msgRenewed) {
+	go func() {
+		ctx, cancel := context.WithTimeout(x.io.ctx, cellPatience)
+		defer cancel()
+		m.err = spill.ErrUnreachable
+		if client := x.clients[m.home]; client != nil {
+			m.answer, m.err = client.Renew(ctx, m.renewal)
+		}
+		x.io.send(m)
+	}()
+}
+
+// patienceCell is how long another cell's call may wait for the controller actor.
+const patienceCell = 700 * time.Millisecond
+
+// Offer answers another cell's offer.
+func (f *front) Offer(o *spill.Offer) (*spill.OfferAnswer, error) {
+	reply := make(chan offerReply, 1)
+	r, got := ask(f.mail, msgOffer{o, reply}, reply, patienceCell)
+	if !got {
+		return nil, spill.ErrUnreachable
+	}
+	return r.answer, r.err
+}
+
+// Renew answers another cell's question for the right to run.
+func (f *front) Renew(renewal *spill.Renewal) (*spill.RenewalAnswer, error) {
+	reply := make(chan renewalReply, 1)
+	r, got := ask(f.mail, msgRenewal{renewal, reply}, reply, patienceCell)
+	if !got {
+		return nil, spill.ErrUnreachable
+	}
+	return r.answer, r.err
+}
+
+// takeCellMessage takes a message of spilling. Only a holder with authority answers other
+// cells.
+func (c *controller) takeCellMessage(m any) {
+	l := c.leading
+	holds := l != nil && l.ready && c.auth.Holds(c.now)
+	switch m := m.(type) {
+	case msgOffer:
+		if !holds {
+			m.reply <- offerReply{nil, spill.ErrNotHolder}
+			return
+		}
+		m.reply <- offerReply{l.spill.takeOffer(m.offer), nil}
+	case msgRenewal:
+		if !holds {
+			m.reply <- renewalReply{nil, spill.ErrNotHolder}
+			return
+		}
+		answer, err := l.spill.renewal(m.renewal)
+		m.reply <- renewalReply{answer, err}
+	case msgOffered:
+		if l != nil && l.ready && l.token == m.term {
+			l.spill.offered(m)
+		}
+	case msgRenewed:
+		if l != nil && l.ready && l.token == m.term {
+			l.spill.renewed(m)
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/cells_chaos_test.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"woadweir/internal/core/model"
+)
+
+// cellFaultKinds is the number of troubles between cells that cellFault knows, beside
+// those that each deployment has for itself.
+const cellFaultKinds = 8
+
+// cellFault brings one trouble of or between cells about.
+func cellFault(x *cellWorld, kind int, long model.Micros) {
+	w := x.cells[x.Rng.IntN(len(x.cells))]
+	from, to := cellNames[x.Rng.IntN(len(cellNames))], cellNames[x.Rng.IntN(len(cellNames))]
+	switch kind {
+	case 0, 1: // a cell drops out, for less or more than its leases
+		x.drop(w, model.Micros(1+4*kind)*long)
+	case 2, 3: // one direction of a link, dropping or holding
+		x.set(from, to, kind-1)
+		x.After(2*long, func() { x.set(from, to, open) })
+	case 4: // calls arrive again, minutes late
+		x.copies = 0.4
+		x.After(long, func() { x.copies = 0 })
+	case 5: // the holder stands still for longer than its lease, and wakes late
+		if l := w.leader(); l != nil && !l.paused {
+			l.pauseFor(long + 5*model.Second)
+		}
+	case 6: // users cancel what is lent
+		for _, w := range x.cells {
+			for _, u := range w.users {
+				if u.accepted && u.ended == "" && w.state.Has("spill/out/"+u.sub.ID) && x.Chance(0.5) {
+					u.cancel(nil)
+				}
+			}
+		}
+	case 7: // a slow link
+		x.slow = 1500 * model.Millisecond
+		x.After(long, func() { x.slow = 0 })
+	}
+}
+
+// Random failures of three cells, of the links between them and of what each of them
+// consists of break no rule, and lose or repeat no job.
+func TestCellsUnderRandomFailures(t *testing.T) {
+	t.Parallel()
+	lent, again, starts := 0, 0, 0
+	rapid.Check(t, func(rt *rapid.T) {
+		x := newCellWorld(t, rapid.Uint64().Draw(rt, "seed"), 1, 1+rapid.IntRange(0, 1).Draw(rt, "south"), 2)
+		const calm = 150 * model.Second
+		for c, w := range x.cells {
+			for i := range rapid.IntRange(3, 8).Draw(rt, "jobs") * 2 / (1 + c) {
+				cancel := model.Micros(0)
+				if x.Chance(0.25) {
+					cancel = x.Between(5*model.Second, 60*model.Second)
+				}
+				x.At(x.Between(5*model.Second, 70*model.Second), func() {
+					s := sweepJob(100*c+i, 1+x.Rng.IntN(5), float64(4+x.Rng.IntN(30)))
+					if x.Chance(0.3) {
+						s = gangJob(100*c+i, 1+x.Rng.IntN(3), float64(4+x.Rng.IntN(30)))
+					}
+					w.submit(s, cancel)
+				})
+			}
+		}
+		for range rapid.IntRange(1, 6).Draw(rt, "cell faults") {
+			kind := rapid.IntRange(0, cellFaultKinds-1).Draw(rt, "kind")
+			x.At(x.Between(20*model.Second, calm-30*model.Second), func() { cellFault(x, kind, x.Between(2*model.Second, 20*model.Second)) })
+		}
+		for range rapid.IntRange(0, 4).Draw(rt, "faults") {
+			kind := rapid.IntRange(0, faultKinds-1).Draw(rt, "kind")
+			x.At(x.Between(20*model.Second, calm-30*model.Second), func() {
+				fault(x.cells[x.Rng.IntN(len(x.cells))], kind, x.Between(model.Second, 20*model.Second))
+			})
+		}
+		x.Run(calm)
+		x.verify(rt)
+		lent += x.lentJobs()
+		again += x.rules.ExecutedAgain
+		starts += x.rules.Starts
+	})
+	t.Logf("%d starts, %d jobs lent, %d tasks executed again", starts, lent, again)
+	if lent == 0 {
+		t.Error("nothing was lent")
+	}
+}
--- a/internal/node/controller.go
+++ b/internal/node/controller.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 
 	"woadweir/internal/config"
@@ -21,6 +22,7 @@
 	laneMisc
 	laneIntent
 	laneDuty
+	laneSpill
 	laneUsers // the first of userLanes
 	userLanes = 4
 	lanes     = laneUsers + userLanes
@@ -101,8 +103,11 @@
 	op    *config.Operator
 	clock Clock
 	io    effects
+	cells cellCalls // nil: no other cells
 	now   model.Micros
 	wall  func() int64 // time of day, ms
+	// jitter draws from 0 to 1.
+	jitter func() float64
 
 	limits   config.Limits // of the state service
 	teams    map[string]*model.Team
@@ -157,7 +162,7 @@
 	gap := model.Seconds(float64(nodes) / (syncShare * limits.RPS))
 	c := &controller{set: set, limits: limits, op: op, clock: clock, io: io, teams: set.Teams(), auth: lead.Authority{Spans: spans},
 		syncGap: max(syncLeast, gap), seen: map[string]model.Micros{}, routes: map[string]route{}, layouts: map[string]int{}, view: state.NewView(), wantList: true,
-		wall: func() int64 { return time.Now().UnixMilli() }}
+		wall: func() int64 { return time.Now().UnixMilli() }, jitter: rand.Float64}
 	c.budget = state.NewBudget(c.writeShare(false))
 	c.duties = newDutyHolder(c, op.Duties)
 	return c
@@ -222,6 +227,8 @@
 		c.rented(m)
 	case msgDeleted:
 		c.deleted(m)
+	case msgOffer, msgRenewal, msgOffered, msgRenewed:
+		c.takeCellMessage(m)
 	default:
 		panic("node: unknown message")
 	}
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -265,7 +265,9 @@
 		l.provisionSoon = true
 		slog.Info("rented", "request", request, "state", r.State, "type", r.MachineType, "zone", r.Zone, "spot", r.Spot, "machines", r.Machines)
 		if r.State == duty.Refused || len(r.Machines) < r.Count {
-			l.provisioner.Refuse(slack.Offer{MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot}, l.c.now)
+			offer := slack.Offer{MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot}
+			l.spill.refused[offer] = l.c.now
+			l.provisioner.Refuse(offer, l.c.now)
 		}
 		l.adopt(r)
 	}
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -68,13 +68,16 @@
 	pendingDeletions                         map[string]model.Micros // when it is to be sent, see deletionSent
 	seenLists                                int
 	intents                                  intentLog
+	spill                                    *spiller
 }
 
 func newLeadership(c *controller, token uint64) *leadership {
 	p := slack.Defaults()
 	p.ExtraCapacityRate, p.Granularity, p.RefusedPause = float64(c.op.ExtraCapacityRate), int(c.op.Granularity), model.Seconds(float64(c.op.RefusedPauseS))
-	return &leadership{c: c, token: token, provisioner: slack.New(p), pendingRentals: map[string]cloud.Rental{}, recentSizes: map[taskSize]model.Micros{},
+	l := &leadership{c: c, token: token, provisioner: slack.New(p), pendingRentals: map[string]cloud.Rental{}, recentSizes: map[taskSize]model.Micros{},
 		deletedMachines: map[string]model.Micros{}, missingFromLists: map[string]int{}, pendingDeletions: map[string]model.Micros{}, intents: newIntentLog()}
+	l.spill = newSpiller(l, c.op.Spill)
+	return l
 }
 
 // takeOver builds the holder from a view that has everything that former
@@ -87,6 +90,7 @@
 		Waits: c.set.Waits(), Finish: c.set.Finish(), Deadlines: c.set.Deadlines(), Guarantee: c.set.Guarantee()}, l.token)
 	l.block.Log = logEvent
 	l.block.SetMachineTypes(c.view.MachineTypes)
+	l.spill.takeOver()
 	for ref := range c.view.Jobs {
 		l.jobNews(ref)
 	}
@@ -108,6 +112,7 @@
 		l.block.LoadSlot(k, names[i])
 	}
 	l.block.StopSuperseded()
+	l.spill.afterRestore()
 	l.takeOverIntents()
 	l.ready = true
 	slog.Info("took over", "token", l.token, "machines", len(l.block.Machines), "jobs", len(l.block.Jobs))
@@ -121,13 +126,14 @@
 	for ref := range l.c.view.Jobs {
 		l.jobNews(ref)
 	}
+	l.spill.reload()
 }
 
 // jobNews tells the holder what the view says of a job.
 func (l *leadership) jobNews(ref string) {
 	j := l.c.view.Jobs[ref]
-	if j == nil {
-		return
+	if j == nil || l.spill.isGuest(ref) {
+		return // unknown, or it begins when one of that name that another cell has lent is gone
 	}
 	if js := l.block.Jobs[ref]; js != nil {
 		if j.End != "" {
@@ -143,6 +149,7 @@
 	}
 	age := model.Micros(max(0, l.c.wall()-j.ReadyMs())) * model.Millisecond
 	l.block.AddJob(j.Job(), l.c.view.Done(ref), j.End, l.c.now, age)
+	l.spill.jobAdded(ref)
 	l.provisionSoon = true
 }
 
@@ -167,6 +174,8 @@
 		l.returnUselessMachines()
 	}
 	l.takeOutcomes()
+	l.spill.applyRights()
+	l.spill.step()
 	l.place()
 	l.writeIntents()
 	l.writeBindings()
@@ -224,6 +233,9 @@
 	case laneIntent:
 		l.intentsCommitted(m)
 		return
+	case laneSpill:
+		l.spill.committed(m)
+		return
 	}
 	switch {
 	case m.err != nil:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,7 +12,9 @@
 
 	"github.com/valyala/fasthttp"
 	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
 
+	"woadweir/internal/cellrpc"
 	"woadweir/internal/cloud"
 	"woadweir/internal/config"
 	"woadweir/internal/core/block"
@@ -70,13 +72,22 @@
 		return err
 	}
 	f := &front{mail: mail, peers: peers, state: st, ctx: ctx}
-	g.Go(func() error { return peer.Serve(ctx, back, f) })
+	var services []func(grpc.ServiceRegistrar)
+	if op.Spill != nil {
+		services = append(services, func(s grpc.ServiceRegistrar) { cellrpc.Register(s, f) })
+	}
+	g.Go(func() error { return peer.Serve(ctx, back, f, services...) })
 	abandon := make(chan uint64, 8)
 	io := &inputOutput{mail: mail, clock: clock, state: st, cloud: cloud.NewClient(set.Services.Cloud), peers: peers, name: set.NodeName, ctx: ctx,
 		abandon: abandon}
 	c := newController(set, op, spans, clock, io)
+	if op.Spill != nil {
+		if c.cells, err = newCellIO(io, op.Spill); err != nil {
+			return err
+		}
+	}
 	g.Go(func() error { return c.run(ctx, mail) })
-	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL, duties: op.Duties != nil, abandon: abandon}
+	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL, duties: op.Duties != nil, spills: op.Spill != nil, abandon: abandon}
 	g.Go(func() error { return ses.run(ctx) })
 	g.Go(func() error { return tick(ctx, mail) })
 	srv := &fasthttp.Server{Handler: f.serve, Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
--- a/internal/node/provisioning.go
+++ b/internal/node/provisioning.go
@@ -116,12 +116,14 @@
 		if !errors.Is(m.err, cloud.ErrNoCapacity) {
 			l.cloudBad = c.now
 		}
+		l.spill.refused[m.offer] = c.now
 		slog.Info("rent refused", "type", m.rental.MachineType, "zone", m.rental.Zone, "spot", m.rental.Spot, "err", m.err)
 		l.provisioner.Refuse(m.offer, c.now)
 		return
 	}
 	l.cloudGood = c.now
 	if len(m.machines) < m.rental.Count {
+		l.spill.refused[m.offer] = c.now
 		l.provisioner.Refuse(m.offer, c.now)
 	}
 	slog.Info("rented", "type", m.rental.MachineType, "zone", m.rental.Zone, "spot", m.rental.Spot, "machines", m.machines)
--- a/internal/node/responses.go
+++ b/internal/node/responses.go
@@ -45,6 +45,11 @@
 
 func (l *leadership) respond(m msgReport) {
 	h := l.block.Machines[m.report.Machine]
+	l.spill.applyRights()
+	if l.spill.withheld(m.report.Machine) {
+		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
+		return
+	}
 	if h == nil || h.WorkerSession != m.report.Session || h.Sequence != m.report.Sequence || h.Deleting || !l.c.auth.Holds(l.c.now) {
 		m.reply <- workerAnswer{code: 503, body: []byte("{}")}
 		return
--- a/internal/node/session.go
+++ b/internal/node/session.go
@@ -23,6 +23,8 @@
 	ttl   model.Micros
 	// duties tells that this process may hold duties without leading.
 	duties bool
+	// spills tells that this process is set up to spill.
+	spills bool
 	// abandon takes sessions that are to be ended instead of renewed.
 	abandon chan uint64
 }
@@ -95,7 +97,7 @@
 	case lead.CallPut:
 		var res *state.Result
 		res, err = s.state.Commit(&state.Txn{Guards: []state.Guard{{Path: key, Stamp: call.Stamp}},
-			Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID, Serve: s.serve, Layout: state.Layout, Duties: s.duties}, Tenancy: call.ID}}}, patience)
+			Then: []state.Op{{Set: key, Value: state.NodeRecord{Session: call.ID, Serve: s.serve, Layout: state.Layout(s.spills), Duties: s.duties}, Tenancy: call.ID}}}, patience)
 		if err == nil && !res.OK {
 			r.Outcome = lead.Conflict
 		}
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -83,6 +83,7 @@
 	// settings are read by a node whenever it starts.
 	settings func(name string) *config.Settings
 	policy   func(name string) *duty.Policy // the duties file, nil: none
+	cell     *simCell                       // its part among other cells, nil: there are none
 
 	cut     map[string]bool   // machines whose reports wait until the cut ends
 	late    []func(*simNode)  // these reports, to be delivered to a node, or to the one they were sent to (nil)
@@ -156,22 +157,33 @@
 }
 
 func newDeployment(t *testing.T, seed uint64, settings func(name string) *config.Settings, capacity map[string]int) *world {
-	w := &world{Sim: standin.NewSim(seed), t: t, settings: settings, away: map[string]string{}, deaf: map[string]bool{}, cut: map[string]bool{}, mute: map[string]bool{}}
+	sim, set := standin.NewSim(seed), settings("")
+	rules := standin.NewRules(sim, set.Teams(), model.Seconds(set.Params.Workers.CancelS))
+	w := newCell(t, sim, rules, settings, capacity)
+	for i := range 3 {
+		w.addNode(fmt.Sprintf("node-%d", i))
+	}
+	return w
+}
+
+// newCell is a deployment without controllers that shares time and rules with others.
+func newCell(t *testing.T, sim *standin.Sim, rules *standin.Rules, settings func(name string) *config.Settings, capacity map[string]int) *world {
+	w := &world{Sim: sim, rules: rules, t: t, settings: settings, away: map[string]string{}, deaf: map[string]bool{}, cut: map[string]bool{}, mute: map[string]bool{}}
 	w.state = standin.NewState(w.Sim)
-	set := settings("")
-	w.rules = standin.NewRules(w.Sim, set.Teams(), model.Seconds(set.Params.Workers.CancelS))
-	ps := set.Params.Workers
+	ps := settings("").Params.Workers
 	w.cloud = standin.NewCloud(w.Sim, w, w.rules, simMachineTypes, standin.Times{Report: model.Seconds(ps.ReportS), Lease: model.Seconds(ps.LeaseS),
 		GangWait: model.Seconds(ps.GangWaitS), GangPeer: model.Seconds(ps.GangPeerS)})
 	w.cloud.Capacity = capacity
-	for i := range 3 {
-		n := &simNode{w: w, name: fmt.Sprintf("node-%d", i), workers: true}
-		w.nodes = append(w.nodes, n)
-		n.start()
-	}
 	return w
 }
 
+// addNode starts one more controller.
+func (w *world) addNode(name string) {
+	n := &simNode{w: w, name: name, workers: true}
+	w.nodes = append(w.nodes, n)
+	n.start()
+}
+
 // Nodes and Checkin make the world a network for workers.
 func (w *world) Nodes() []string {
 	var ns []string
@@ -295,7 +307,14 @@
 	if n.w.policy != nil && !n.old {
 		op.Duties = n.w.policy(n.name)
 	}
+	if n.w.cell != nil {
+		op.Spill = n.w.cell.policy
+	}
 	n.ctl = newController(n.set, op, spans, clock, n)
+	if op.Spill != nil {
+		n.ctl.cells = &simCells{n}
+		n.ctl.jitter = n.w.Rng.Float64
+	}
 	n.ctl.wall = func() int64 { return int64(n.w.Now / 1000) }
 	n.ses = lead.NewSession(spans.TTL)
 	n.tick(n.life)
@@ -388,7 +407,7 @@
 }
 
 func (n *simNode) nodeRecord(session uint64) state.NodeRecord {
-	r := state.NodeRecord{Session: session, Layout: state.Layout, Duties: n.ctl.duties.candidate}
+	r := state.NodeRecord{Session: session, Layout: state.Layout(n.ctl.op.Spill != nil), Duties: n.ctl.duties.candidate}
 	if n.old {
 		r.Layout = 0
 	}
@@ -667,6 +686,9 @@
 		u.cancelAt = w.Now + cancelAfter
 	}
 	w.users = append(w.users, u)
+	if w.cell != nil {
+		w.rules.Homes[sub.ID] = w.cell.name
+	}
 	u.post()
 	return u
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -57,10 +57,13 @@
 // sibling may hand on the reports of some thousand workers at once.
 const maxCalls = 8192
 
-// Serve answers calls until the context ends.
-func Serve(ctx context.Context, ln net.Listener, h Handler) error {
+// Serve answers calls until the context ends, those of further services too.
+func Serve(ctx context.Context, ln net.Listener, h Handler, services ...func(grpc.ServiceRegistrar)) error {
 	s := grpc.NewServer(grpc.MaxConcurrentStreams(maxCalls))
 	RegisterPeerServer(s, &server{h: h})
+	for _, register := range services {
+		register(s)
+	}
 	stop := context.AfterFunc(ctx, s.Stop)
 	defer stop()
 	return s.Serve(ln)
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -17,6 +17,7 @@
 	Lag          model.Micros
 	Run          func(*model.Job) model.Micros
 	Times        Times
+	Cell         string // the cell that rents here, "": there is one
 
 	// Calls are the rentals and deletions that were carried out.
 	Calls []CloudCall
@@ -87,7 +88,7 @@
 	for range n {
 		ref := fmt.Sprintf("host-%06d", c.next)
 		c.next++
-		m := &machine{rented: c.sim.Now, w: &Worker{ID: ref, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Size: f.Size(),
+		m := &machine{rented: c.sim.Now, w: &Worker{ID: ref, Cell: c.Cell, MachineType: r.MachineType, Zone: r.Zone, Spot: r.Spot, Size: f.Size(),
 			sim: c.sim, net: c.net, rules: c.rules, gangs: c.gangs, run: c.Run, t: c.Times}}
 		c.machines = append(c.machines, m)
 		refs = append(refs, ref)
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -15,9 +15,11 @@
 	Cancel model.Micros
 	Broken []string
 
-	Subs      map[string]*model.Job // every job that a user submitted
-	on        map[model.TaskID]map[*Task]bool
-	used      map[string]model.Resources
+	Subs map[string]*model.Job // every job that a user submitted
+	on   map[model.TaskID]map[*Task]bool
+	used map[account]model.Resources
+	// Homes are the cells at which jobs were submitted, where there are several.
+	Homes     map[string]string
 	completed map[model.TaskID]bool
 	cancelled map[string]model.Micros // when a user asked
 	told      map[string]string       // the end that was told
@@ -33,12 +35,15 @@
 	// CancelledStarts are starts of tasks whose job had been reported as withdrawn:
 	// commands that were on their way. They break no rule while cancel lasts.
 	CancelledStarts int
+	// ExecutedAgain are starts of tasks that had completed before: no word of that had
+	// come to the service, as after the loss of a machine.
+	ExecutedAgain int
 }
 
 // NewRules makes a watch.
 func NewRules(sim *Sim, teams map[string]*model.Team, cancel model.Micros) *Rules {
 	return &Rules{sim: sim, Teams: teams, Cancel: cancel, Subs: map[string]*model.Job{}, on: map[model.TaskID]map[*Task]bool{},
-		used: map[string]model.Resources{}, completed: map[model.TaskID]bool{}, cancelled: map[string]model.Micros{},
+		used: map[account]model.Resources{}, Homes: map[string]string{}, completed: map[model.TaskID]bool{}, cancelled: map[string]model.Micros{},
 		told: map[string]string{}, toldAt: map[string]model.Micros{}, Accepted: map[string]bool{}, Awaits: map[string][]string{}, answered: map[string]model.Micros{}, idleFrom: map[string]model.Micros{}}
 }
 
@@ -85,9 +90,11 @@
 		r.on[t.id] = map[*Task]bool{}
 	}
 	r.on[t.id][t] = true
-	r.used[j.Team] = r.used[j.Team].Plus(j.Request)
-	if !r.Teams[j.Team].Within(r.used[j.Team]) {
-		r.broken("quota: %s uses %v", j.Team, r.used[j.Team])
+	for _, a := range r.accounts(t) {
+		r.used[a] = r.used[a].Plus(j.Request)
+		if !r.Teams[j.Team].Within(r.used[a]) {
+			r.broken("quota: %v uses %v", a, r.used[a])
+		}
 	}
 	if r.told[j.ID] == "withdrawn" {
 		r.CancelledStarts++
@@ -134,6 +141,16 @@
 	return true
 }
 
+// DoneTasks tells how many tasks of a job have completed.
+func (r *Rules) DoneTasks(ref string) (n int) {
+	for id := range r.completed {
+		if id.Job == ref {
+			n++
+		}
+	}
+	return n
+}
+
 // before calls f for every job that a job needs, directly or through others.
 func (r *Rules) before(ref string, f func(ref string)) {
 	seen := map[string]bool{}
@@ -152,7 +169,9 @@
 		return
 	}
 	delete(r.on[t.id], t)
-	r.used[t.job.Team] = r.used[t.job.Team].Minus(t.job.Request)
+	for _, a := range r.accounts(t) {
+		r.used[a] = r.used[a].Minus(t.job.Request)
+	}
 	if r.overdue(t.job.ID) {
 		r.broken("ran_cancelled: %s was on %s for %.1f s", t.id, t.w.ID, (r.sim.Now - r.toldAt[t.job.ID]).Seconds())
 	}
@@ -238,7 +257,19 @@
 func (r *Rules) ToldAt(ref string) model.Micros { return r.toldAt[ref] }
 
 // Used is what a team's tasks take of machines.
-func (r *Rules) Used(team string) model.Resources { return r.used[team] }
+func (r *Rules) Used(team string) model.Resources { return r.used[account{team: team}] }
+
+// account is what counts towards a team's limit: its tasks on a cell's machines, or those
+// of the jobs that were submitted at a cell, wherever they run.
+type account struct {
+	team, cell string
+	byHome     bool
+}
+
+// accounts are those to which a task counts.
+func (r *Rules) accounts(t *Task) [2]account {
+	return [2]account{{t.job.Team, t.w.Cell, false}, {t.job.Team, r.Homes[t.job.ID], true}}
+}
 
 // waitsMost is how long a job may wait, with all troubles over, while a machine that
 // fits has room and its team is under its limit.
@@ -281,7 +312,7 @@
 	if j.Kind == model.Gang {
 		want = j.Tasks
 	}
-	left := r.Teams[j.Team].Limit.Minus(r.used[j.Team])
+	left := r.Teams[j.Team].Limit.Minus(r.Used(j.Team))
 	need := j.Request
 	need.Mem = 0
 	if need.Count(left, want) < want {
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -92,7 +92,7 @@
 		}},
 		{"", "a job waits and its team is at its limit", func(s *scene) {
 			accept(s)
-			s.used["red"] = s.Teams["red"].Limit
+			s.used[account{team: "red"}] = s.Teams["red"].Limit
 			s.Room([]*Worker{s.a})
 			later(s, waitsMost+1)
 			s.Room([]*Worker{s.a})
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -24,6 +24,7 @@
 	Spot                  bool
 	Size                  model.Resources
 	Sick                  bool
+	Cell                  string // the cell that the machine belongs to, "": there is one
 
 	sim      *Sim
 	net      Net
@@ -266,6 +267,7 @@
 	w.changed()
 	switch {
 	case w.rules.completed[t.id]:
+		w.rules.ExecutedAgain++
 		t.exit("done")
 	case w.Sick:
 		t.exit("error")
--- a/internal/state/pipeline.go
+++ b/internal/state/pipeline.go
@@ -28,6 +28,9 @@
 // Ready tells whether all that a job needs is done, so that it may begin.
 func (j *JobView) Ready() bool { return j.waits == 0 && !j.fallen }
 
+// Alone tells that a job neither awaits others nor is awaited.
+func (j *JobView) Alone() bool { return len(j.Submission.Awaits) == 0 && len(j.needed) == 0 }
+
 // ReadyMs is the time of day from which its times count, other than its deadline.
 func (j *JobView) ReadyMs() int64 { return max(j.Submission.AcceptedMs, j.readyMs) }
 
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -12,6 +12,7 @@
 	"woadweir/internal/core/block"
 	"woadweir/internal/core/model"
 	"woadweir/internal/duty"
+	"woadweir/internal/spill"
 )
 
 // NodeRecord is a node's own key, attached to its session.
@@ -24,14 +25,21 @@
 	Duties bool `json:"duties,omitempty"`
 }
 
-// Layout is the newest layout of records that this version reads. Nothing beyond what
-// all controllers read is written.
-const Layout = LayoutDuties
+// Layout is the layout of records that a controller tells of: the newest that it reads,
+// that of spilling only where it is set up to spill. Nothing beyond what all controllers
+// tell of is written.
+func Layout(spills bool) int {
+	if spills {
+		return LayoutSpill
+	}
+	return LayoutDuties
+}
 
 // Layouts of records.
 const (
 	LayoutDense  = 2 // dense bundles
 	LayoutDuties = 3 // leases of duties, and intents; bundles may be removed
+	LayoutSpill  = 4 // jobs lent to other cells, and by them
 )
 
 // LeaderRecord is the leader's key, attached to its session.
@@ -99,6 +107,12 @@
 	Duties  map[duty.Name]*duty.Lease
 	Rentals map[string]*duty.Rental
 	Returns map[string]*duty.Return
+	// LentOut are the records of jobs that are or were lent to other cells, by job, and
+	// LentIn those of jobs that others have lent to this one, by key. UnreadableSpill
+	// names a key of these that this version can't read: spilling stops then.
+	LentOut         map[string]*spill.OutRecord
+	LentIn          map[string]*spill.InRecord
+	UnreadableSpill string
 
 	entries map[string]*entryView // by name, see block.BundleRecord.Names
 	bound   map[string]int        // bound tasks by job
@@ -110,6 +124,7 @@
 func NewView() *View {
 	return &View{Layouts: map[string]int{}, Stamps: map[string]uint64{}, Jobs: map[string]*JobView{}, Grants: map[string]*GrantRecord{},
 		Nodes: map[string]*NodeRecord{}, Duties: map[duty.Name]*duty.Lease{}, Rentals: map[string]*duty.Rental{}, Returns: map[string]*duty.Return{},
+		LentOut: map[string]*spill.OutRecord{}, LentIn: map[string]*spill.InRecord{},
 		entries: map[string]*entryView{}, bound: map[string]int{}, bundles: map[string]*bundleView{}}
 }
 
@@ -176,6 +191,22 @@
 	case strings.HasPrefix(path, duty.ReturnPrefix):
 		var r duty.Return
 		err, rec = read(&r), r
+	case strings.HasPrefix(path, spill.OutPrefix):
+		var r spill.OutRecord
+		if read(&r) != nil || r.State != spill.Lent && r.State != spill.Home {
+			// The job may be lent, so nothing of it may be started here.
+			v.UnreadableSpill, r = path, spill.OutRecord{State: spill.Unreadable}
+		}
+		rec = r
+	case strings.HasPrefix(path, spill.InPrefix):
+		var r spill.InRecord
+		if read(&r) != nil || r.Spec == nil {
+			// Without a record the guest has no right to run the job.
+			v.UnreadableSpill = path
+			v.Stamps[path] = stamp
+			return true, nil
+		}
+		rec = r
 	default:
 		err = fmt.Errorf("%w: %s", ErrLayout, path)
 	}
@@ -323,6 +354,12 @@
 		delete(v.Returns, path)
 	case "bound":
 		v.dropBundle(path)
+	case "spill":
+		delete(v.LentOut, strings.TrimPrefix(path, spill.OutPrefix))
+		delete(v.LentIn, path)
+		if v.UnreadableSpill == path {
+			v.UnreadableSpill = ""
+		}
 	}
 	return true
 }
@@ -380,6 +417,9 @@
 	if n := v.bound[ref]; n > 0 {
 		return "running", s.Len(), n, true
 	}
+	if r := v.LentOut[ref]; r != nil && r.State == spill.Lent && r.Running > 0 {
+		return "running", s.Len(), r.Running, true
+	}
 	return "pending", s.Len(), 0, true
 }
 
@@ -460,6 +500,10 @@
 		v.Rentals[path] = &x
 	case duty.Return:
 		v.Returns[path] = &x
+	case spill.OutRecord:
+		v.LentOut[strings.TrimPrefix(path, spill.OutPrefix)] = &x
+	case spill.InRecord:
+		v.LentIn[path] = &x
 	default:
 		panic("state: no such record: " + path)
 	}
