--- a/cmd/woadweir/main.go
+++ b/cmd/woadweir/main.go
@@ -20,6 +20,7 @@
 type cli struct {
 	Run     runCmd     `cmd:"" default:"withargs" help:"Run a controller until it is killed (the default)."`
 	Duties  dutiesCmd  `cmd:"" help:"Tell who holds which single-holder duty, since when, and why the holder before lost it."`
+	Spills  spillsCmd  `cmd:"" help:"Tell which jobs are lent to other cells and by them, since when, and under which token."`
 	Check   checkCmd   `cmd:"" help:"Read and check the settings, and print the first thing wrong."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 }
--- a/cmd/woadweir/main_test.go
+++ b/cmd/woadweir/main_test.go
@@ -64,6 +64,8 @@
 	write(t, duties, `<duties><duty name="renting"><prefer>node-7</prefer></duty></duties>`)
 	long := filepath.Join(t.TempDir(), "long.xml")
 	write(t, long, `<duties><lease-s>60</lease-s></duties>`)
+	tooLong := filepath.Join(t.TempDir(), "spill.xml")
+	write(t, tooLong, `<spill cell="north"><lease-s>30</lease-s></spill>`)
 	for _, c := range []struct {
 		args   string
 		status int
@@ -81,6 +83,10 @@
 		{"check --config " + good + " --duties " + duties, 2, `duty renting: unknown controller "node-7"`},
 		{"check --config " + good + " --duties " + long, 2, "lease-s: 60 is longer than is safe"},
 		{"duties --config " + good, 1, "state service"},
+		{"check --config " + good + " --spill ../../deploy/spill.xml", 0, "settings are good"},
+		{"check --config " + good + " --spill " + tooLong, 2, "lease-s: 30 s of right"},
+		{"run --config " + good + " --spill " + tooLong, 2, "lease-s: 30 s of right"},
+		{"spills --config " + good, 1, "state service"},
 	} {
 		cmd := exec.Command(os.Args[0], strings.Fields(c.args)...)
 		cmd.Env = append(os.Environ(), "WOADWEIR_TEST_MAIN=1")
@@ -94,34 +100,57 @@
 	}
 }
 
-// The duties are read from the state service: who holds each, and why the last one lost it.
-func TestDutiesAreTold(t *testing.T) {
+// tell runs a command against a state service that answers so, and gives its lines.
+func tell(t *testing.T, command string, answer fasthttp.RequestHandler) []string {
+	t.Helper()
 	ln, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := &fasthttp.Server{Handler: func(rc *fasthttp.RequestCtx) {
-		switch string(rc.Path()) {
-		case "/keys/duty/renting":
-			rc.SetBodyString(`{"path":"duty/renting","value":{"holder":"node-1","session":7,"sinceMs":1700000000000,"previous":"node-2","previousToken":31,"why":"cloud not reached"},"stamp":44}`)
-		case "/keys/grant/b0":
-			rc.SetBodyString(`{"path":"grant/b0","value":{"holder":"node-0","session":6},"stamp":12}`)
-		default:
-			rc.SetStatusCode(404)
-			rc.SetBodyString(`{"epoch":50}`)
-		}
-	}}
+	server := &fasthttp.Server{Handler: answer}
 	go func() { _ = server.Serve(ln) }()
 	defer func() { _ = server.Shutdown() }()
 	config := filepath.Join(t.TempDir(), "good.toml")
 	write(t, config, strings.ReplaceAll(goodSettings, `state = "127.0.0.1:1"`, `state = "`+ln.Addr().String()+`"`))
-	cmd := exec.Command(os.Args[0], "duties", "--config", config)
+	cmd := exec.Command(os.Args[0], command, "--config", config)
 	cmd.Env = append(os.Environ(), "WOADWEIR_TEST_MAIN=1")
 	out, err := cmd.CombinedOutput()
 	if err != nil {
 		t.Fatal(err, string(out))
 	}
-	lines := strings.Split(string(out), "\n")
+	return strings.Split(string(out), "\n")
+}
+
+// What is lent is read from the state service.
+func TestSpillsAreTold(t *testing.T) {
+	lines := tell(t, "spills", func(rc *fasthttp.RequestCtx) {
+		if string(rc.QueryArgs().Peek("starts")) != "spill/" {
+			rc.SetStatusCode(400)
+			return
+		}
+		rc.SetBodyString(`{"entries":[{"path":"spill/in/south/j-000007","value":{"home":"south","token":5,"state":"returned","sinceMs":1700000000000},"stamp":9},
+			{"path":"spill/out/j-000001","value":{"cell":"west","token":3145733,"state":"lent","sinceMs":1700000000000},"stamp":8}],"hasNext":false,"epoch":12}`)
+	})
+	for i, want := range []string{"JOB HOME GUEST STATE TOKEN SINCE", "j-000007 south here returned 5 2023-11-14T22:13:20Z", "j-000001 here west lent 3145733 2023-11-14T22:13:20Z"} {
+		if got := strings.Join(strings.Fields(lines[i]), " "); got != want {
+			t.Errorf("%q, want %q", got, want)
+		}
+	}
+}
+
+// The duties are read from the state service: who holds each, and why the last one lost it.
+func TestDutiesAreTold(t *testing.T) {
+	lines := tell(t, "duties", func(rc *fasthttp.RequestCtx) {
+		switch string(rc.Path()) {
+		case "/keys/duty/renting":
+			rc.SetBodyString(`{"path":"duty/renting","value":{"holder":"node-1","session":7,"sinceMs":1700000000000,"previous":"node-2","previousToken":31,"why":"cloud not reached"},"stamp":44}`)
+		case "/keys/grant/b0":
+			rc.SetBodyString(`{"path":"grant/b0","value":{"holder":"node-0","session":6},"stamp":12}`)
+		default:
+			rc.SetStatusCode(404)
+			rc.SetBodyString(`{"epoch":50}`)
+		}
+	})
 	for i, want := range []string{"DUTY HOLDER TOKEN SINCE PREVIOUS ITS TOKEN WHY IT LOST THE DUTY",
 		"renting node-1 44 2023-11-14T22:13:20Z node-2 31 cloud not reached", "returning - 0 - - 0 -", "cleanup - 0 - - 0 -", "reclaiming node-0 12 - - 0 -"} {
 		if got := strings.Join(strings.Fields(lines[i]), " "); got != want {
--- /dev/null
+++ b/internal/spill/settings_test.go
@@ -0,0 +1,62 @@
+package spill
+
+import (
+	"strings"
+	"testing"
+
+	"woadweir/internal/core/model"
+)
+
+// A wrong spill file is refused with its field and the reason.
+func TestWrongSettings(t *testing.T) {
+	const neighbour = `<neighbour cell="south"><controller>10.0.0.1:9</controller></neighbour>`
+	for _, c := range []struct{ file, says string }{
+		{`<spill cell="north">` + neighbour + `</spill>`, ""},
+		{`<spill cell="north">`, "spill: "},
+		{`<spill/>`, "cell: missing"},
+		{`<spill cell="The North"/>`, `cell: "The North" is not made of`},
+		{`<spill cell="north">` + neighbour + neighbour + `</spill>`, "neighbour south: named twice"},
+		{`<spill cell="south">` + neighbour + `</spill>`, "neighbour south: a cell can't be its own neighbour"},
+		{`<spill cell="north"><neighbour cell="south"/></spill>`, "neighbour south: no controller"},
+		{`<spill cell="north"><neighbour cell="south"><controller>somewhere</controller></neighbour></spill>`, `neighbour south: controller: "somewhere"`},
+		{`<spill cell="north"><neighbour cell="south"><port>1</port></neighbour></spill>`, "neighbour south: unknown element port"},
+		{`<spill cell="north"><wait>3</wait></spill>`, "wait: unknown element"},
+		{`<spill cell="north"><wait-s>3</wait-s><wait-s>4</wait-s></spill>`, "wait-s: stands twice"},
+		{`<spill cell="north"><stay-s>0</stay-s></spill>`, "stay-s: 0 is not between 1 and 3600"},
+		{`<spill cell="north"><start-s>NaN</start-s></spill>`, "start-s: NaN is not between"},
+		{`<spill cell="north"><most-lent>0</most-lent></spill>`, "most-lent: 0 is not between"},
+		{`<spill cell="north"><lease-s>2</lease-s></spill>`, "lease-s: 2 is not between 3"},
+		{`<spill cell="north"><lease-s>18</lease-s></spill>`, "lease-s: 18 s of right"},
+	} {
+		_, err := ParseSettings([]byte(c.file), 18*model.Second, 38*model.Second)
+		switch {
+		case c.says == "" && err != nil:
+			t.Errorf("%s: %v", c.file, err)
+		case c.says != "" && (err == nil || !strings.HasPrefix(err.Error(), c.says)):
+			t.Errorf("%s: %v, want %s", c.file, err, c.says)
+		}
+	}
+}
+
+// A neighbour that fails is asked less and less often, within a budget of retries; one that
+// answers slowly is used less.
+func TestContactBacksOff(t *testing.T) {
+	c, now, asked := Contact{}, model.Micros(0), 0
+	for ; now < 600*model.Second; now += model.Second / 10 {
+		if c.Ready(now) {
+			asked++
+			c.Failed(0, 0.5, now)
+		}
+	}
+	if asked < 15 || asked > 30 {
+		t.Errorf("asked %d times in 600 s of failures", asked)
+	}
+	c.Answered(0, now)
+	if now += mostBackoff + mostBackoff/2; !c.Ready(now) {
+		t.Error("not asked again after an answer")
+	}
+	c.Answered(3*model.Second, now)
+	if c.Ready(now + model.Second) {
+		t.Error("asked at once after a slow answer")
+	}
+}
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -35,6 +35,9 @@
 	// CancelledStarts are starts of tasks whose job had been reported as withdrawn:
 	// commands that were on their way. They break no rule while cancel lasts.
 	CancelledStarts int
+	// Observe, if set, is told of every task that comes onto a machine, and whether it had
+	// completed before.
+	Observe func(cell string, id model.TaskID, again bool)
 	// ExecutedAgain are starts of tasks that had completed before: no word of that had
 	// come to the service, as after the loss of a machine.
 	ExecutedAgain int
@@ -59,6 +62,9 @@
 func (r *Rules) enter(t *Task) {
 	r.Starts++
 	j := t.job
+	if r.Observe != nil {
+		r.Observe(t.w.Cell, t.id, r.completed[t.id])
+	}
 	if len(r.on[t.id]) > 0 {
 		r.broken("ran_twice: %s on %s", t.id, t.w.ID)
 	}
--- a/internal/standin/rules_test.go
+++ b/internal/standin/rules_test.go
@@ -43,6 +43,11 @@
 		{"", "a task runs, leaves and runs elsewhere", func(s *scene) { s.leave(put(s, s.a, 0)); put(s, s.b, 0) }},
 		{"ran_twice", "a task on two machines", func(s *scene) { put(s, s.a, 0); put(s, s.b, 0) }},
 		{"quota", "a team beyond its limit", func(s *scene) { s.job.Request.Cores = 6000; put(s, s.a, 0); put(s, s.b, 1) }},
+		{"quota", "the jobs of one cell beyond its limit, in two cells", func(s *scene) {
+			s.job.Request.Cores, s.b.Cell = 6000, "south"
+			put(s, s.a, 0)
+			put(s, s.b, 1)
+		}},
 		{"wrong_place", "a zone that is not allowed", func(s *scene) { s.job.Zone = "b"; put(s, s.a, 0) }},
 		{"wrong_place", "a spot machine that is not allowed", func(s *scene) { s.a.Spot = true; put(s, s.a, 0) }},
 		{"wrong_place", "two zones of a job that has to be together", func(s *scene) { s.job.SameZone = true; put(s, s.a, 0); put(s, s.b, 1) }},
--- a/internal/state/client.go
+++ b/internal/state/client.go
@@ -129,6 +129,11 @@
 // List reads all keys, page by page. The epoch is that of the first page:
 // watching from there misses nothing, and applying a change twice is harmless.
 func (c *Client) List(timeout model.Micros, each func(Entry) error) (epoch uint64, err error) {
+	return c.listPrefix("", timeout, each)
+}
+
+// listPrefix reads all keys that begin so.
+func (c *Client) listPrefix(prefix string, timeout model.Micros, each func(Entry) error) (epoch uint64, err error) {
 	from := ""
 	for page := 0; ; page++ {
 		var out struct {
@@ -136,7 +141,7 @@
 			HasNext bool    `json:"hasNext"`
 			Epoch   uint64  `json:"epoch"`
 		}
-		uri := "/keys?starts=&most=1000"
+		uri := "/keys?starts=" + prefix + "&most=1000"
 		if from != "" {
 			uri += "&from=" + url.QueryEscape(from)
 		}
