Simulated worlds run in parallel; failed transactions paced in one place; large files split

No behaviour changes but that a conflicting write of duties' leases goes the same way as an unanswered one. ./test passes.

--- a/internal/core/block/world.go
+++ b/internal/core/block/world.go
@@ -50,20 +50,7 @@
 		}
 		h.stop(b, leeway, why, now)
 	}
-	w.Patience = func(j *model.JobState) model.Micros {
-		if ps := h.Params.Waits[j.Class]; len(ps) > 0 {
-			p := ps[0]
-			if p < 60*model.Second {
-				return p / 4
-			}
-			return p * 2 / 5
-		}
-		if j.Deadline > 0 && j.Priority >= model.HighPriority {
-			// What is urgent by its deadline alone has what is left of it after its run.
-			return min(180*model.Second, max(0, j.Deadline-h.Expected(j.Job))/4)
-		}
-		return 180 * model.Second
-	}
+	w.Patience = h.patience
 	h.updateClassLoads(w.Jobs, now)
 	w.Rate = func(class string) float64 { return h.classLoads[class].rate }
 	w.Remaining = func(b *model.Binding) model.Micros { return h.Remaining(b, now) }
@@ -72,6 +59,22 @@
 	return w
 }
 
+// patience is how long a job waits until others are stopped for it.
+func (h *State) patience(j *model.JobState) model.Micros {
+	if waits := h.Params.Waits[j.Class]; len(waits) > 0 {
+		first := waits[0]
+		if first < 60*model.Second {
+			return first / 4
+		}
+		return first * 2 / 5
+	}
+	if j.Deadline > 0 && j.Priority >= model.HighPriority {
+		// What is urgent by its deadline alone has what is left of it after its run.
+		return min(180*model.Second, max(0, j.Deadline-h.Expected(j.Job))/4)
+	}
+	return 180 * model.Second
+}
+
 // Place runs a placement round. One that preempts also looks for work to be
 // stopped, which takes longer.
 func (h *State) Place(now model.Micros, displace bool) {
--- a/internal/node/catchup.go
+++ b/internal/node/catchup.go
@@ -54,18 +54,7 @@
 		}
 	}
 	if m.err != nil {
-		slog.Debug("sync", "err", m.err)
-		if errors.Is(m.err, state.ErrLayout) {
-			// Whoever wrote that knows of jobs or bindings that we would miss.
-			slog.Error("the state service holds what this version can't read; not serving", "err", m.err)
-			c.loaded, c.wantList, c.stateBad = false, true, true
-			c.syncNotBy = c.now + 5*model.Second
-			c.stepDown("unreadable records")
-		} else if errors.Is(m.err, state.ErrTooOld) {
-			c.wantList = true
-		} else {
-			c.syncNotBy = c.now + 200*model.Millisecond
-		}
+		c.syncFailed(m.err)
 		for _, f := range waiters {
 			f(false)
 		}
@@ -96,6 +85,23 @@
 	}
 }
 
+// syncFailed decides what follows a catch-up that failed.
+func (c *controller) syncFailed(err error) {
+	slog.Debug("sync", "err", err)
+	switch {
+	case errors.Is(err, state.ErrLayout):
+		// Whoever wrote that knows of jobs or bindings that we would miss.
+		slog.Error("the state service holds what this version can't read; not serving", "err", err)
+		c.loaded, c.wantList, c.stateBad = false, true, true
+		c.syncNotBy = c.now + 5*model.Second
+		c.stepDown("unreadable records")
+	case errors.Is(err, state.ErrTooOld):
+		c.wantList = true
+	default:
+		c.syncNotBy = c.now + 200*model.Millisecond
+	}
+}
+
 // apply takes a change into the view, and tells the holder of new and ended
 // jobs.
 func (c *controller) apply(e *state.Event) error {
--- a/internal/node/chaos_test.go
+++ b/internal/node/chaos_test.go
@@ -35,6 +35,7 @@
 // Random failures, singly and together, break no rule; and once they are over,
 // every accepted job comes to its end.
 func TestRandomFailures(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newDeployment(t, rapid.Uint64().Draw(rt, "seed"), sockets(rapid.SampledFrom([]int{0, 14}).Draw(rt, "sockets"), simSettings), capacity(4, 2))
 		const calm = 150 * model.Second
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -299,10 +299,7 @@
 	switch {
 	case m.err != nil:
 		failure = m.err.Error()
-		c.pauses[laneDuty] = c.now + 100*model.Millisecond
-		if errors.Is(m.err, state.ErrBusy) {
-			c.budget.Drain(c.now)
-		} else {
+		if c.writeFailed(m) {
 			d.needSync()
 		}
 	case m.res.OK:
@@ -310,8 +307,9 @@
 	default:
 		failure = "refused"
 		d.refused(m)
-		c.pauses[laneDuty] = c.now + 100*model.Millisecond
-		d.needSync()
+		if c.writeFailed(m) {
+			d.needSync()
+		}
 	}
 	if written != nil {
 		written.span.End(failure)
@@ -332,8 +330,7 @@
 }
 
 func (d *dutyHolder) needSync() {
-	d.resync = true
-	d.c.afterSync(func(bool) {})
+	d.c.needSync(&d.resync)
 }
 
 // clean removes what nobody needs.
--- a/internal/node/duties_fleet_test.go
+++ b/internal/node/duties_fleet_test.go
@@ -15,6 +15,7 @@
 // leader, all of them work, the leader ends, and the fleet settles: nothing is rented
 // for the same need again, and all machines come back in the end.
 func TestFourThousandMachines(t *testing.T) {
+	t.Parallel()
 	w := newDeployment(t, 43, func(name string) *config.Settings {
 		s := fleetSettings(name)
 		s.Params.Teams = []config.Team{{Name: "red", CPUsMax: 40_000, GPUsMax: 4000}, {Name: "blue", CPUsMax: 9000}}
--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -151,6 +151,7 @@
 // are refused by the state service, and nothing is rented or returned that was not
 // decided once.
 func TestHolderPausedPastItsLease(t *testing.T) {
+	t.Parallel()
 	for point := beforeLease; point < pausePoints; point++ {
 		for seed := range uint64(4) {
 			w := newDutyWorld(t, 100+seed, spreadDuties)
@@ -515,6 +516,7 @@
 // Random pauses, cuts, copies, repeats and ends: no write of a duty is accepted from two
 // holders, nothing is rented or returned that was not decided, and no rule is broken.
 func TestDutiesUnderRandomFailures(t *testing.T) {
+	t.Parallel()
 	checks := flag.Lookup("rapid.checks")
 	before := checks.Value.String()
 	if before == checks.DefValue {
--- a/internal/node/failures_test.go
+++ b/internal/node/failures_test.go
@@ -340,6 +340,7 @@
 // A job with the most tasks there may be runs within the limits of the state
 // service: the stand-in refuses values and transactions that are too large.
 func TestVeryManyTinyTasks(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t, 16)
 	var us []*user
 	for i := range 2 {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -25,6 +25,7 @@
 // come late all the time. No rule is broken, nobody who was accepted is forgotten,
 // and once all is over everything ends.
 func TestManyMachinesFailTogether(t *testing.T) {
+	t.Parallel()
 	w := newDeployment(t, 41, fleetSettings, capacity(385, 125))
 	w.copies = 0.03
 	var us []*user
--- a/internal/node/intents.go
+++ b/internal/node/intents.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"errors"
 	"fmt"
 	"log/slog"
 	"slices"
@@ -193,14 +192,11 @@
 	}
 	// Whether it was carried out is told by the next catch-up.
 	l.intents.queue = append(drafts, l.intents.queue...)
-	c.pauses[laneIntent] = c.now + 100*model.Millisecond
 	switch {
-	case m.err == nil && slices.Contains(m.res.Failed, "grant/"+blockName):
+	case m.lostGrant():
 		slog.Info("fenced write refused", "duty", duty.Reclaiming, "token", l.token, "keys", m.res.Failed)
 		c.stepDown("the grant is not ours any more")
-	case errors.Is(m.err, state.ErrBusy):
-		c.budget.Drain(c.now)
-	default:
+	case c.writeFailed(m):
 		l.needSync()
 	}
 }
--- a/internal/node/leading.go
+++ b/internal/node/leading.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"log/slog"
-	"slices"
 
 	"woadweir/internal/cloud"
 	"woadweir/internal/core/block"
@@ -247,19 +246,15 @@
 		} else {
 			l.block.Retry(m.writes, !state.NotDone(m.err))
 		}
-		if errors.Is(m.err, state.ErrBusy) {
-			c.budget.Drain(c.now)
-		} else {
-			// It may have been carried out: the guards tell, after a catch-up.
+		if c.writeFailed(m) {
 			l.needSync()
 		}
-		c.pauses[laneHolder] = c.now + 100*model.Millisecond
 	case m.res.OK:
 		c.view.Apply(m.txn, m.res.Epoch)
 		l.block.Committed(m.writes, c.now)
 	default:
 		slog.Info("conflict", "keys", m.res.Failed)
-		if slices.Contains(m.res.Failed, "grant/"+blockName) {
+		if m.lostGrant() {
 			c.stepDown("the grant is not ours any more")
 			return
 		}
@@ -269,8 +264,7 @@
 }
 
 func (l *leadership) needSync() {
-	l.resync = true
-	l.c.afterSync(func(bool) {})
+	l.c.needSync(&l.resync)
 }
 
 // place runs a placement round if one is due. On a large fleet reports come much
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,13 +59,9 @@
 	g, ctx := errgroup.WithContext(ctx)
 	mail := make(chan any, mailboxSize)
 	st := state.NewClient(set.Services.State)
-	var peers []*peer.Client
-	for _, s := range set.Siblings {
-		p, err := peer.Dial(s.NodeName, s.Endpoint)
-		if err != nil {
-			return err
-		}
-		peers = append(peers, p)
+	peers, err := dialSiblings(set)
+	if err != nil {
+		return err
 	}
 	back, err := net.Listen("tcp4", set.Back)
 	if err != nil {
@@ -90,12 +86,7 @@
 	ses := &session{state: st, clock: clock, mail: mail, name: set.NodeName, serve: set.ServeOn, ttl: spans.TTL, duties: op.Duties != nil, spills: op.Spill != nil, abandon: abandon}
 	g.Go(func() error { return ses.run(ctx) })
 	g.Go(func() error { return tick(ctx, mail) })
-	srv := &fasthttp.Server{Handler: f.serve, Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
-		ReadBufferSize: 4096, IdleTimeout: idleTimeout(set), ReadTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second,
-		Logger: quiet{}, NoDefaultContentType: true, DisablePreParseMultipartForm: true}
-	if n := set.Params.Quota.FDLimit; n > 0 {
-		srv.Concurrency = max(64, n*9/10)
-	}
+	srv := newServer(set, f)
 	g.Go(func() error { return srv.Serve(ln) })
 	g.Go(func() error { <-ctx.Done(); return srv.Shutdown() })
 	if err := g.Wait(); err != nil && !errors.Is(err, context.Canceled) {
@@ -104,6 +95,29 @@
 	return nil
 }
 
+// dialSiblings prepares the calls to the other controllers.
+func dialSiblings(set *config.Settings) (peers []*peer.Client, err error) {
+	for _, s := range set.Siblings {
+		p, err := peer.Dial(s.NodeName, s.Endpoint)
+		if err != nil {
+			return nil, err
+		}
+		peers = append(peers, p)
+	}
+	return peers, nil
+}
+
+// newServer answers users and workers.
+func newServer(set *config.Settings, f *front) *fasthttp.Server {
+	srv := &fasthttp.Server{Handler: f.serve, Name: "woadweir", MaxRequestBodySize: 64 << 10, NoDefaultDate: true,
+		ReadBufferSize: 4096, IdleTimeout: idleTimeout(set), ReadTimeout: 30 * time.Second, WriteTimeout: 10 * time.Second,
+		Logger: quiet{}, NoDefaultContentType: true, DisablePreParseMultipartForm: true}
+	if n := set.Params.Quota.FDLimit; n > 0 {
+		srv.Concurrency = max(64, n*9/10)
+	}
+	return srv
+}
+
 // idleTimeout is how long a connection may be silent. Workers whose machines were
 // cut off come back on new connections, hundreds at once, while nothing ends their
 // old ones: those must be gone before they are too many.
--- /dev/null
+++ b/internal/node/sim_effects_test.go
@@ -0,0 +1,172 @@
+package node
+
+import (
+	"slices"
+
+	"woadweir/internal/cloud"
+	"woadweir/internal/core/model"
+	"woadweir/internal/state"
+)
+
+func (n *simNode) sync(from uint64, list bool) {
+	life := n.life
+	m := msgSynced{sent: n.ctl.clock()}
+	if n.blind {
+		n.w.After(syncPatience, func() { n.deliver(life, msgSynced{sent: m.sent, err: state.ErrLost}) })
+		return
+	}
+	n.request(func() func() {
+		if list {
+			es, epoch, err := n.w.state.List(n.name)
+			m.err = err
+			m.view = state.NewView()
+			m.view.Epoch = epoch
+			for _, e := range es {
+				e.Value = n.reads(e.Path, e.Value)
+				if _, err := m.view.Set(e.Path, e.Value, e.Stamp); err != nil {
+					panic(err)
+				}
+			}
+		} else {
+			m.changes, m.err = n.w.state.Watch(n.name, from)
+			if m.err == nil {
+				for i := range m.changes.Events {
+					e := &m.changes.Events[i]
+					e.Value = n.reads(e.Set, e.Value)
+				}
+			}
+		}
+		return func() { n.deliver(life, m) }
+	}, func() { n.deliver(life, msgSynced{sent: m.sent, err: state.ErrLost}) }, syncPatience)
+}
+
+func (n *simNode) deliver(life int, m any) {
+	if n.life == life {
+		n.reaches(answerOf(m))
+		n.ask(m, nil)
+	}
+}
+
+func (n *simNode) commit(m msgCommitted) {
+	if n.intercept != nil && n.intercept(m) {
+		return
+	}
+	if point := pointOf(m); n.reaches(point) || n.paused {
+		n.stopped(func() { n.commit(m) })
+		return
+	}
+	life := n.life
+	txn := n.writes(m.txn)
+	lost := m
+	lost.err = state.ErrLost
+	n.transact(func() *state.Result {
+		m.res, m.err = n.w.state.Commit(n.name, txn)
+		return m.res
+	}, func() { n.deliver(life, m) }, func() { n.deliver(life, lost) }, commitPatience)
+}
+
+func (n *simNode) cloudCall(f func() any) {
+	life := n.life
+	n.w.After(n.w.Between(50*model.Millisecond, 200*model.Millisecond), func() {
+		m := f()
+		n.w.After(50*model.Millisecond, func() { n.deliver(life, m) })
+	})
+}
+
+func (n *simNode) flavors() {
+	n.cloudCall(func() any {
+		if n.w.cloud.Down || n.noCloud {
+			return msgMachineTypes{err: cloud.ErrTrouble}
+		}
+		return msgMachineTypes{builds: n.w.cloud.MachineTypes}
+	})
+}
+
+func (n *simNode) list() {
+	sent := n.ctl.clock()
+	n.cloudCall(func() any {
+		ms, err := n.w.cloud.List()
+		if n.noCloud {
+			err = cloud.ErrTrouble
+		}
+		return msgListed{sent, ms, err}
+	})
+}
+
+func (n *simNode) rent(m msgRented) {
+	if n.reaches(beforeRent) || n.paused {
+		n.stopped(func() { n.rent(m) })
+		return
+	}
+	n.cloudCall(func() any {
+		if n.noCloud {
+			m.err = cloud.ErrTrouble
+			return m
+		}
+		m.machines, m.err = n.w.cloud.Rent(&m.rental)
+		n.w.cloudAgain(func() { _, _ = n.w.cloud.Rent(&m.rental) })
+		return m
+	})
+}
+
+func (n *simNode) remove(m msgDeleted) {
+	if n.reaches(beforeDelete) || n.paused {
+		n.stopped(func() { n.remove(m) })
+		return
+	}
+	n.cloudCall(func() any {
+		if n.noCloud {
+			m.err = cloud.ErrTrouble
+			return m
+		}
+		m.err = n.w.cloud.Delete(m.refs)
+		n.w.cloudAgain(func() { _ = n.w.cloud.Delete(m.refs) })
+		return m
+	})
+}
+
+// cloudAgain has a late copy of a call carried out, if copies come late in this world.
+func (w *world) cloudAgain(call func()) {
+	if w.repeats > 0 && w.Chance(w.repeats) {
+		w.After(w.Between(model.Second, 60*model.Second), call)
+	}
+}
+
+func (n *simNode) ping() {
+	life := n.life
+	n.w.After(2*model.Millisecond, func() {
+		var m msgPinged
+		for _, o := range n.w.nodes {
+			if o == n || !o.alive || o.paused || o.alone || n.alone {
+				continue
+			}
+			m.alive++
+			reply := make(chan pinged, 1)
+			o.ask(msgReached{reply}, nil)
+			p := <-reply
+			m.workers += p.workers
+			if !o.old {
+				m.relays = append(m.relays, o.name)
+			}
+			if p.reached {
+				m.helpers = append(m.helpers, o.name)
+			}
+		}
+		n.deliver(life, m)
+	})
+}
+
+func (n *simNode) resign(session uint64, helper string) {
+	n.abandon = session
+	o := n
+	if helper != "" {
+		if n.alone {
+			return
+		}
+		o = n.w.nodes[slices.Index(n.w.Nodes(), helper)]
+	}
+	o.request(func() func() {
+		_ = n.w.state.End(o.name, session) // what is lost is lost
+		return func() {}
+	}, func() {}, 2*model.Second)
+}
--- /dev/null
+++ b/internal/node/sim_network_test.go
@@ -0,0 +1,118 @@
+package node
+
+import (
+	"slices"
+
+	"woadweir/internal/core/model"
+	"woadweir/internal/standin"
+	"woadweir/internal/workerapi"
+)
+
+// Nodes and Checkin make the world a network for workers.
+func (w *world) Nodes() []string {
+	var ns []string
+	for _, n := range w.nodes {
+		ns = append(ns, n.name)
+	}
+	return ns
+}
+
+func (w *world) Checkin(x *standin.Worker, node string, body []byte, answer func(int, []byte)) {
+	n := w.nodes[slices.Index(w.Nodes(), node)]
+	if w.away[x.ID] == node || w.mute[x.ID] || w.reaches != nil && !w.reaches(x, n) {
+		return
+	}
+	if w.deaf[x.ID] {
+		answer = func(int, []byte) {}
+	}
+	if w.cut[x.ID] {
+		w.late = append(w.late, func(to *simNode) {
+			if to == nil {
+				to = n
+			}
+			w.deliverReport(to, body, w.Between(200, 2*model.Second), func(int, []byte) {})
+		})
+		return
+	}
+	w.deliverReport(n, body, w.Between(200, 2000+w.lag), answer)
+	if w.copies > 0 && w.Chance(w.copies) {
+		to := w.nodes[w.Rng.IntN(len(w.nodes))]
+		w.deliverReport(to, body, w.Between(2*model.Second, copyLate), func(int, []byte) {})
+	}
+	if w.record {
+		w.heard = append(w.heard, func() {
+			for _, n := range w.nodes {
+				w.deliverReport(n, body, 0, func(int, []byte) {})
+			}
+		})
+	}
+}
+
+func (w *world) deliverReport(n *simNode, body []byte, after model.Micros, answer func(int, []byte)) {
+	w.After(after, func() {
+		if !n.alive || !n.workers {
+			return
+		}
+		r, err := workerapi.ParseReport(body)
+		if err != nil {
+			panic(err)
+		}
+		n.handsOver(msgReport{report: r}, func(a workerAnswer) {
+			back := w.Between(200, 2000+w.lag)
+			if w.Chance(0.01) {
+				back = 5 * model.Second // too late for the worker
+			}
+			give := func(a workerAnswer) { w.After(back, func() { answer(a.code, a.body) }) }
+			if a.relay == "" {
+				give(a)
+				return
+			}
+			l := w.nodes[slices.Index(w.Nodes(), a.relay)]
+			life := n.life
+			fail := func() {
+				n.deliver(life, msgRelayFailed{})
+				give(a)
+			}
+			if l.alone || n.alone || l.old || !l.alive || w.Chance(0.01) {
+				w.After(w.Between(0, 2500*model.Millisecond), fail)
+				return
+			}
+			answered := false
+			w.After(2500*model.Millisecond, func() {
+				if !answered {
+					answered = true
+					fail()
+				}
+			})
+			w.After(w.Between(200, 2000), func() {
+				l.handsOver(msgReport{report: r, relayed: true}, func(b workerAnswer) {
+					w.After(w.Between(200, 2000), func() {
+						if answered || n.life != life {
+							return
+						}
+						answered = true
+						if b.code == 200 {
+							w.relayed++
+						}
+						give(b)
+					})
+				})
+			})
+		})
+	})
+}
+
+// handsOver gives the actor a report; f gets its answer.
+func (n *simNode) handsOver(m msgReport, f func(workerAnswer)) {
+	reply := make(chan workerAnswer, 1)
+	m.reply = reply
+	n.ask(m, func() bool {
+		select {
+		case a := <-reply:
+			f(a)
+			return true
+		default:
+			return false
+		}
+	})
+}
--- a/internal/node/spill.go
+++ b/internal/node/spill.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"errors"
 	"log/slog"
 	"slices"
 	"strings"
@@ -187,17 +186,13 @@
 		}
 		return
 	}
-	c.pauses[laneSpill] = c.now + 100*model.Millisecond
-	if m.err != nil && errors.Is(m.err, state.ErrBusy) {
-		c.budget.Drain(c.now)
-		return
-	}
-	if m.err == nil && slices.Contains(m.res.Failed, "grant/"+blockName) {
+	if m.lostGrant() {
 		c.stepDown("the grant is not ours any more")
 		return
 	}
-	s.resync = true
-	c.afterSync(func(bool) {})
+	if c.writeFailed(m) {
+		c.needSync(&s.resync)
+	}
 }
 
 // recordNews takes what the view says of a record of spilling.
--- a/internal/node/upgrade_test.go
+++ b/internal/node/upgrade_test.go
@@ -314,6 +314,7 @@
 // accepted is forgotten, and all of it ends. A node that crashes before its turn
 // comes back old.
 func TestUpgradeUnderFailures(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newDeployment(t, rapid.Uint64().Draw(rt, "seed"), sockets(rapid.SampledFrom([]int{0, 14}).Draw(rt, "sockets"), nextSettings), capacity(4, 2))
 		w.production()
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -147,74 +147,84 @@
 	if stamp <= v.Stamps[path] {
 		return false, nil
 	}
-	read := func(rec any) error {
-		if err := json.Unmarshal(value, rec); err != nil {
-			return fmt.Errorf("%w: %s: %v", ErrLayout, path, err)
+	kind, rest, _ := strings.Cut(path, "/")
+	if kind == "node" {
+		v.setNode(rest, value)
+		v.Stamps[path] = stamp
+		return true, nil
+	}
+	rec, err := decode(path, value)
+	if kind == "spill" && err != nil {
+		// The job may be lent, so nothing of it may be started here; without a record the
+		// guest has no right to run it.
+		v.UnreadableSpill, rec, err = path, spill.OutRecord{State: spill.Unreadable}, nil
+		if !strings.HasPrefix(path, spill.OutPrefix) {
+			v.Stamps[path] = stamp
+			return true, nil
 		}
-		return nil
 	}
-	var rec any
-	var err error
-	switch kind, rest, _ := strings.Cut(path, "/"); {
+	if err != nil {
+		return false, err
+	}
+	v.Put(path, rec, stamp)
+	return true, nil
+}
+
+// setNode takes a node's own key. Nothing rests on one that can't be read.
+func (v *View) setNode(name string, value json.RawMessage) {
+	var r NodeRecord
+	if json.Unmarshal(value, &r) == nil {
+		v.Layouts[name] = r.Layout
+		v.Nodes[name] = &r
+	}
+}
+
+// decode reads the record of a key.
+func decode(path string, value json.RawMessage) (any, error) {
+	kind, rest, _ := strings.Cut(path, "/")
+	switch {
 	case kind == "job" && rest != "" && !strings.Contains(rest, "/"):
-		var r block.JobRecord
-		if err = read(&r); err == nil && r.Spec == nil && r.End == "" {
+		r, err := as[block.JobRecord](path, value)
+		if err == nil && r.Spec == nil && r.End == "" {
 			err = fmt.Errorf("%w: %s is empty", ErrLayout, path)
 		}
-		rec = r
+		return r, err
 	case kind == "bound":
-		var r block.BundleRecord
-		err, rec = read(&r), r
+		return as[block.BundleRecord](path, value)
 	case kind == "leader":
-		var r LeaderRecord
-		err, rec = read(&r), r
+		return as[LeaderRecord](path, value)
 	case kind == "grant":
-		var r GrantRecord
-		err, rec = read(&r), r
+		return as[GrantRecord](path, value)
 	case kind == "flavors":
-		var r MachineTypesRecord
-		err, rec = read(&r), r
-	case kind == "node":
-		var r NodeRecord
-		if read(&r) == nil {
-			v.Layouts[rest] = r.Layout
-			v.Nodes[rest] = &r
-		}
-		v.Stamps[path] = stamp
-		return true, nil
+		return as[MachineTypesRecord](path, value)
 	case strings.HasPrefix(path, duty.KeyPrefix) && slices.Contains(duty.Movable, duty.Name(rest)):
-		var r duty.Lease
-		err, rec = read(&r), r
+		return as[duty.Lease](path, value)
 	case strings.HasPrefix(path, duty.RentalPrefix):
-		var r duty.Rental
-		err, rec = read(&r), r
+		return as[duty.Rental](path, value)
 	case strings.HasPrefix(path, duty.ReturnPrefix):
-		var r duty.Return
-		err, rec = read(&r), r
+		return as[duty.Return](path, value)
 	case strings.HasPrefix(path, spill.OutPrefix):
-		var r spill.OutRecord
-		if read(&r) != nil || r.State != spill.Lent && r.State != spill.Home {
-			// The job may be lent, so nothing of it may be started here.
-			v.UnreadableSpill, r = path, spill.OutRecord{State: spill.Unreadable}
+		r, err := as[spill.OutRecord](path, value)
+		if err == nil && r.State != spill.Lent && r.State != spill.Home {
+			err = fmt.Errorf("%w: %s", ErrLayout, path)
 		}
-		rec = r
+		return r, err
 	case strings.HasPrefix(path, spill.InPrefix):
-		var r spill.InRecord
-		if read(&r) != nil || r.Spec == nil {
-			// Without a record the guest has no right to run the job.
-			v.UnreadableSpill = path
-			v.Stamps[path] = stamp
-			return true, nil
+		r, err := as[spill.InRecord](path, value)
+		if err == nil && r.Spec == nil {
+			err = fmt.Errorf("%w: %s is empty", ErrLayout, path)
 		}
-		rec = r
-	default:
-		err = fmt.Errorf("%w: %s", ErrLayout, path)
+		return r, err
 	}
-	if err != nil {
-		return false, err
+	return nil, fmt.Errorf("%w: %s", ErrLayout, path)
+}
+
+// as reads a record of one kind.
+func as[T any](path string, value json.RawMessage) (rec T, err error) {
+	if err := json.Unmarshal(value, &rec); err != nil {
+		return rec, fmt.Errorf("%w: %s: %v", ErrLayout, path, err)
 	}
-	v.Put(path, rec, stamp)
-	return true, nil
+	return rec, nil
 }
 
 // BundleKey is the key of a block's bundle.
