--- a/internal/core/block/reports.go
+++ b/internal/core/block/reports.go
@@ -171,6 +171,7 @@
 	case "error":
 		h.failed(js, m, now)
 	case "full", "in_use", "unknown":
+		js.UnknownToWorkers = js.UnknownToWorkers || p.Cause == "unknown"
 		js.NotBefore = max(js.NotBefore, now+model.Second)
 	}
 	h.unbind(b, "ended: "+p.Cause, now)
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -260,6 +260,9 @@
 	// the finished tasks that its home has stored.
 	HomeCell  string
 	Confirmed Set
+	// UnknownToWorkers tells that a worker has refused to start it, as it found no
+	// description of the job.
+	UnknownToWorkers bool
 	// What a placement round thinks of it.
 	WithinGuarantee bool // within its team's guarantee
 	GuaranteeInTime bool // and can still start in the time that such work is to start in
--- a/internal/node/cells_test.go
+++ b/internal/node/cells_test.go
@@ -214,3 +214,66 @@
 	}
 	x.verify(t)
 }
+
+// What a guest's workers do not know goes home and is not offered there again.
+func TestWorkersThatDoNotKnowAJob(t *testing.T) {
+	t.Parallel()
+	x := newCellWorld(t, 12, defaultRight, 1, 2, 2)
+	x.rules.Unknowing = map[string]bool{"south": true}
+	x.Run(20 * model.Second)
+	x.burst(x.cells[0], 0, 24, 25)
+	x.verify(t)
+	toSouth, others := map[string]int{}, 0
+	x.eachLending(func(job string, record *spill.OutRecord) {
+		if record.Cell == "south" {
+			toSouth[job]++
+		} else {
+			others++
+		}
+	})
+	for job, n := range toSouth {
+		if n > 1 {
+			t.Errorf("%s was lent to south %d times", job, n)
+		}
+	}
+	if len(toSouth) == 0 || others == 0 {
+		t.Errorf("%d jobs lent to south, %d lendings to others", len(toSouth), others)
+	}
+}
+
+// A guest's own work comes first, whatever the rank of a lent job.
+func TestLentWorkComesLast(t *testing.T) {
+	t.Parallel()
+	l := newLentJob(t, 13, defaultRight, 30)
+	l.user.sub.Priority = "critical"
+	l.reach("runs", l.runsAtGuest)
+	own := sweepJob(950, 8, 10)
+	own.Team, own.Cores, own.Priority = "blue", 3.5, "standard"
+	u := l.guest.submit(own, 0)
+	l.Run(l.Now + 60*model.Second)
+	if u.ended != "done" {
+		t.Errorf("the guest's own work is %q; %s", u.ended, l.describe(l.job))
+	}
+	if p := l.guest.leader().ctl.leading.block.Jobs[l.job]; p != nil && p.Priority != model.LowPriority {
+		t.Errorf("the lent job has priority %d", p.Priority)
+	}
+	l.verify(t)
+}
+
+// A guest whose file names the home cell no more stops what it runs for it and forgets it;
+// the job is run again at home.
+func TestGuestThatLosesTheFile(t *testing.T) {
+	t.Parallel()
+	l := newLentJob(t, 14, defaultRight, 40)
+	l.reach("runs", l.runsAtGuest)
+	l.guest.cell.policy = nil
+	for _, n := range l.guest.nodes {
+		n.crash()
+		n.start()
+	}
+	l.Run(l.Now + 60*model.Second)
+	if n := l.guest.state.Keys(spill.InPrefix); n > 0 {
+		t.Errorf("the guest has %d records; %s", n, l.describe(""))
+	}
+	l.verify(t)
+}
--- a/internal/node/hosting.go
+++ b/internal/node/hosting.go
@@ -29,7 +29,9 @@
 	}
 	s.hostings[key] = spill.NewHosting(record, l.c.now)
 	if l.block.Jobs[job] == nil {
-		l.block.AddGuest(record.Spec.Job(l.c.view.Stamps[key]), record.Home, model.SetOf(record.Done), l.c.now)
+		guest := record.Spec.Job(l.c.view.Stamps[key])
+		guest.Priority = model.LowPriority // this cell's own work comes first
+		l.block.AddGuest(guest, record.Home, model.SetOf(record.Done), l.c.now)
 	}
 }
 
@@ -92,8 +94,11 @@
 // withheld tells that a machine has tasks of a lent job for which the right has ended a
 // moment ago. Its worker gets no answer: one would renew its lease.
 func (s *spiller) withheld(machine string) bool {
+	if len(s.hostings) == 0 {
+		return false
+	}
 	m := s.l.block.Machines[machine]
-	if m == nil || len(s.hostings) == 0 {
+	if m == nil {
 		return false
 	}
 	for key, hosting := range s.hostings {
@@ -111,11 +116,11 @@
 		hosting, job := s.hostings[key], jobOf(key)
 		js := l.block.Jobs[job]
 		bound := js != nil && js.HomeCell != "" && len(js.Bindings) > 0
-		if hosting.IsOver() {
+		if hosting.IsOver() || s.orphaned(hosting) {
 			if js != nil && js.HomeCell != "" {
 				l.block.EndJob(job, "over", l.c.now)
 			}
-			if !bound && hosting.Forgettable() {
+			if !bound && (hosting.Forgettable() || s.orphaned(hosting)) {
 				s.want(key, spillChange{})
 			}
 			continue
@@ -123,12 +128,23 @@
 		if s.policy != nil {
 			hosting.Consider(s.policy.Start, l.c.now)
 		}
+		if js != nil && js.HomeCell != "" && js.UnknownToWorkers {
+			s.unknown[key] = l.c.now
+			hosting.GiveBack()
+		}
 		if hosting.GivingBack() && !hosting.IsReturned() && !bound {
 			s.giveBack(key)
 		}
 	}
 }
 
+// orphaned tells that a job's home can't be asked, as it is not in the file, and the right
+// to run the job is over. A guest may forget what it has nothing bound of at any time.
+func (s *spiller) orphaned(hosting *spill.Hosting) bool {
+	known := s.policy != nil && s.policy.Knows(hosting.Home)
+	return !known && hosting.Phase(s.withhold(), s.l.c.now) == spill.Stopped
+}
+
 // giveBack has a return made durable: from then on no holder of this cell starts anything
 // of the job under this token.
 func (s *spiller) giveBack(key string) {
@@ -280,6 +296,9 @@
 	if spec.Kind == model.Service || len(o.Spec.Awaits) > 0 || !c.fits(spill.InRecord{Home: o.Home, Token: 1 << 62, State: spill.Accepted, Spec: o.Spec, Done: make([]byte, spec.Tasks/8+1), SinceMs: 1 << 50}) {
 		return spill.Never, "its kind or its record's size"
 	}
+	if at, unknown := s.unknown[key]; unknown && c.now-at < unknownPause {
+		return spill.Never, "the workers do not know it"
+	}
 	if o.Token != 0 {
 		return spill.NotRefused, "" // it was asked before
 	}
--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -89,7 +89,6 @@
 			s.forgetEnded(job)
 		}
 	}
-	recalled := false
 	for _, job := range sortedKeys(s.lendings) {
 		lending, js := s.lendings[job], s.l.block.Jobs[job]
 		if js == nil || js.EndPending || js.Ended != "" || lending.Record.State != spill.Lent {
@@ -103,9 +102,27 @@
 			s.offer(job, lending.Record.Cell, lending.Record.Token)
 		}
 		s.noteRunning(job, lending)
-		if !recalled && !lending.Running() && !lending.Recalled() && s.wantedHome(js, lending) {
-			lending.Recall(c.now)
-			recalled = true
+	}
+	if c.now-s.recallAt >= recallGap {
+		s.recallAt = c.now
+		s.recallOne()
+	}
+}
+
+// recallOne has one job come home that has not begun in its guest and could begin here.
+func (s *spiller) recallOne() {
+	looked := 0
+	for _, job := range sortedKeys(s.lendings) {
+		lending, js := s.lendings[job], s.l.block.Jobs[job]
+		if js == nil || js.EndPending || js.Ended != "" || lending.Running() || lending.Recalled() {
+			continue
+		}
+		if looked++; looked > mostLooked {
+			return
+		}
+		if s.wantedHome(js, lending) {
+			lending.Recall(s.l.c.now)
+			return
 		}
 	}
 }
--- a/internal/node/spill.go
+++ b/internal/node/spill.go
@@ -20,6 +20,8 @@
 	refusalQuiet   = 60 * model.Second       // a cloud that refused so long ago may have machines again
 	ownPatience    = 5 * model.Second        // own work that waits for so long keeps others' out
 	refusedPause   = 10 * model.Second       // after which a refused cell may ask again
+	unknownPause   = 600 * model.Second      // a job that the workers did not know is not taken again before
+	recallGap      = model.Second            // between two looks at what home has room for again
 	withholdShare  = 3                       // of a workers' lease, for which answers are withheld
 	renewShare     = 6                       // questions for the right in its lease
 	mostRenewGap   = 1500 * model.Millisecond
@@ -47,8 +49,10 @@
 	contacts    map[string]*spill.Contact
 	probing     map[string]bool // neighbours that are asked whether they take a job
 	renewals    map[string]*renewalState
-	nextCell    int                          // the neighbour that is asked next
-	reserved    map[string]reservation       // by job
+	nextCell    int                     // the neighbour that is asked next
+	reserved    map[string]reservation  // by job
+	unknown     map[string]model.Micros // when workers last did not know a job, by key
+	recallAt    model.Micros
 	refused     map[slack.Offer]model.Micros // when the cloud last had no capacity of it
 	stepAt      model.Micros
 	candidateAt model.Micros
@@ -58,7 +62,7 @@
 func newSpiller(l *leadership, policy *spill.Policy) *spiller {
 	return &spiller{l: l, policy: policy, lendings: map[string]*spill.Lending{}, hostings: map[string]*spill.Hosting{}, changes: map[string]spillChange{},
 		contacts: map[string]*spill.Contact{}, probing: map[string]bool{}, renewals: map[string]*renewalState{}, complained: map[string]bool{},
-		reserved: map[string]reservation{}, refused: map[slack.Offer]model.Micros{}}
+		reserved: map[string]reservation{}, unknown: map[string]model.Micros{}, refused: map[slack.Offer]model.Micros{}}
 }
 
 // enabled tells whether jobs may be lent and taken: the operators want it, every
--- a/internal/spill/hosting.go
+++ b/internal/spill/hosting.go
@@ -62,6 +62,9 @@
 	}
 }
 
+// GiveBack has the job returned.
+func (h *Hosting) GiveBack() { h.giving = true }
+
 // GivingBack tells that the job is to be returned once nothing of it is bound.
 func (h *Hosting) GivingBack() bool { return h.giving }
 
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -35,6 +35,8 @@
 	// CancelledStarts are starts of tasks whose job had been reported as withdrawn:
 	// commands that were on their way. They break no rule while cancel lasts.
 	CancelledStarts int
+	// Unknowing are the cells whose workers find no description of other cells' jobs.
+	Unknowing map[string]bool
 	// Observe, if set, is told of every task that comes onto a machine, and whether it had
 	// completed before.
 	Observe func(cell string, id model.TaskID, again bool)
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -225,7 +225,7 @@
 	busy := slices.ContainsFunc(w.tasks, func(o *Task) bool { return o.status != "ended" && o.id == id })
 	w.tasks = append(w.tasks, t)
 	switch {
-	case t.job == nil || id.Index >= t.job.Tasks:
+	case t.job == nil || id.Index >= t.job.Tasks || w.rules.Unknowing[w.Cell] && w.rules.Homes[id.Job] != w.Cell:
 		t.exit("unknown")
 	case busy:
 		t.exit("in_use")
