Tests: worst cases at every second, under seeds of their own

Two guards that were seen failing when taken out were no more after later changes of timing: answers that are withheld, and nothing bound before the record says home. The worst cases are now cut off at every second with a seed each (473 schedules instead of 165), and a lost record of taking back comes with machines that can't be stopped.

./test passes.

--- a/internal/node/cells_failures_test.go
+++ b/internal/node/cells_failures_test.go
@@ -330,6 +330,7 @@
 			l.After(8*model.Second, func() {
 				if n := l.home.leader(); n != nil {
 					n.crash()
+					l.cutOff(l.home) // what ran there would not be stopped
 					for _, n := range l.home.nodes {
 						n.intercept = nil
 					}
@@ -373,10 +374,10 @@
 // of the job runs in two places, nor too long after its cancellation.
 func TestWorstCasesOfALending(t *testing.T) {
 	for i, c := range worstCases {
-		for cutAfter := model.Micros(0); cutAfter <= 42*model.Second; cutAfter += 3 * model.Second {
+		for cutAfter := model.Micros(0); cutAfter <= 42*model.Second; cutAfter += model.Second {
 			t.Run(fmt.Sprintf("%s/machines cut off after %.0f s", c.name, cutAfter.Seconds()), func(t *testing.T) {
 				t.Parallel()
-				l := newLentJob(t, uint64(3000+i), longestRight, 150)
+				l := newLentJob(t, uint64(3000+100*i)+uint64(cutAfter/model.Second), longestRight, 150)
 				l.reach("all of it runs", func() bool { return l.accepted() && l.rules.OnMachineOf(l.job) == 4 })
 				l.Run(l.Now + 3*model.Second)
 				c.come(l)
--- a/internal/node/cells_test.go
+++ b/internal/node/cells_test.go
@@ -247,6 +247,9 @@
 	l := newLentJob(t, 13, defaultRight, 30)
 	l.user.sub.Priority = "critical"
 	l.reach("runs", l.runsAtGuest)
+	if p := l.guest.leader().ctl.leading.block.Jobs[l.job]; p == nil || p.Priority != model.LowPriority {
+		t.Errorf("the lent job is %+v", p)
+	}
 	own := sweepJob(950, 8, 10)
 	own.Team, own.Cores, own.Priority = "blue", 3.5, "standard"
 	u := l.guest.submit(own, 0)
@@ -254,9 +257,6 @@
 	if u.ended != "done" {
 		t.Errorf("the guest's own work is %q; %s", u.ended, l.describe(l.job))
 	}
-	if p := l.guest.leader().ctl.leading.block.Jobs[l.job]; p != nil && p.Priority != model.LowPriority {
-		t.Errorf("the lent job has priority %d", p.Priority)
-	}
 	l.verify(t)
 }
 
