Spill: calls get sets of their own; a record stands for its own home's job alone

Found on reading the whole change: the sets of finished tasks that go into calls between cells were the actor's own, read by another goroutine while the actor may change them; and of two cells that lend a job of one name to a third within milliseconds, the second's right would have counted for the first's job. What a hosting stands for is now looked up in one place.

--- a/internal/node/hosting.go
+++ b/internal/node/hosting.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"strings"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -26,9 +27,9 @@
 	l := s.l
 	record := l.c.view.LentIn[key]
 	job := jobOf(key)
-	if js := l.block.Jobs[job]; js != nil && js.HomeCell == "" {
-		// A job of this cell by that name became known a moment before: nothing of the lent
-		// one is here, and home takes it back as it is not asked for it.
+	if js := l.block.Jobs[job]; js != nil && js.HomeCell != record.Home {
+		// A job of this cell or of another by that name became known a moment before: nothing
+		// of this one is here, and home takes it back as it is not asked for it.
 		s.want(key, spillChange{})
 		return
 	}
@@ -56,6 +57,15 @@
 	}
 }
 
+// guestJob is the block's job that a record stands for, nil if it is gone or another's.
+func (s *spiller) guestJob(key string) *model.JobState {
+	js := s.l.block.Jobs[jobOf(key)]
+	if js == nil || js.HomeCell != s.hostings[key].Home {
+		return nil
+	}
+	return js
+}
+
 // isGuest tells whether a job's name stands for one that another cell has lent.
 func (s *spiller) isGuest(job string) bool {
 	if js := s.l.block.Jobs[job]; js != nil {
@@ -78,8 +88,8 @@
 // called before every decision and every answer to a worker.
 func (s *spiller) applyRights() {
 	for key, hosting := range s.hostings {
-		js := s.l.block.Jobs[jobOf(key)]
-		if js == nil || js.HomeCell == "" {
+		js := s.guestJob(key)
+		if js == nil {
 			continue
 		}
 		switch hosting.Phase(s.withhold(), s.l.c.now) {
@@ -119,10 +129,10 @@
 	l := s.l
 	for _, key := range sortedKeys(s.hostings) {
 		hosting, job := s.hostings[key], jobOf(key)
-		js := l.block.Jobs[job]
-		bound := js != nil && js.HomeCell != "" && len(js.Bindings) > 0
+		js := s.guestJob(key)
+		bound := js != nil && len(js.Bindings) > 0
 		if hosting.IsOver() || s.orphaned(hosting) {
-			if js != nil && js.HomeCell != "" {
+			if js != nil {
 				l.block.EndJob(job, "over", l.c.now)
 			}
 			if !bound && (hosting.Forgettable() || s.orphaned(hosting)) {
@@ -133,7 +143,7 @@
 		if s.policy != nil {
 			hosting.Consider(s.policy.Start, l.c.now)
 		}
-		if js != nil && js.HomeCell != "" && js.UnknownToWorkers {
+		if js != nil && js.UnknownToWorkers {
 			s.unknown[key] = l.c.now
 			hosting.GiveBack()
 		}
@@ -204,16 +214,17 @@
 	return r
 }
 
-// jobReport is what this cell knows of a lent job.
+// jobReport is what this cell knows of a lent job. The call goes on beside the actor, so it
+// gets a set of finished tasks of its own.
 func (s *spiller) jobReport(key string) spill.JobReport {
 	hosting := s.hostings[key]
 	report := spill.JobReport{Job: jobOf(key), Token: hosting.Token}
-	js := s.l.block.Jobs[report.Job]
-	report.Returned = hosting.Report(js != nil && js.HomeCell != "" && len(js.Bindings) > 0)
-	if js == nil || js.HomeCell == "" {
+	js := s.guestJob(key)
+	report.Returned = hosting.Report(js != nil && len(js.Bindings) > 0)
+	if js == nil {
 		return report
 	}
-	report.Complete, report.Done = js.EndPending, js.Done.Bytes()
+	report.Complete, report.Done = js.EndPending, slices.Clone(js.Done.Bytes())
 	for _, bs := range js.Bindings {
 		for _, b := range bs {
 			if b.Status >= model.WaitingForGang && b.Status != model.Exited {
@@ -241,7 +252,7 @@
 		if hosting == nil || hosting.Token != verdict.Token || m.renewal.Jobs[i].Job != verdict.Job {
 			continue
 		}
-		if js := s.l.block.Jobs[verdict.Job]; js != nil && js.HomeCell != "" && js.Ended == "" {
+		if js := s.guestJob(key); js != nil && js.Ended == "" {
 			s.l.block.Confirm(js, verdict.Confirmed)
 		}
 		hosting.Heard(verdict, m.renewal.Jobs[i].Returned, m.sent, m.answer.Age)
--- a/internal/node/lending.go
+++ b/internal/node/lending.go
@@ -229,18 +229,21 @@
 	for range s.policy.Neighbours {
 		s.nextCell++
 		cell := s.policy.Neighbours[s.nextCell%len(s.policy.Neighbours)].Cell
-		contact := s.contacts[cell]
-		if contact == nil {
-			contact = &spill.Contact{}
-			s.contacts[cell] = contact
-		}
-		if !s.probing[cell] && contact.Ready(s.l.c.now) && s.unheard(cell) < mostUnheard {
+		if !s.probing[cell] && s.contact(cell).Ready(s.l.c.now) && s.unheard(cell) < mostUnheard {
 			return cell
 		}
 	}
 	return ""
 }
 
+// contact paces the offers to a cell.
+func (s *spiller) contact(cell string) *spill.Contact {
+	if s.contacts[cell] == nil {
+		s.contacts[cell] = &spill.Contact{}
+	}
+	return s.contacts[cell]
+}
+
 // unheard is how many jobs were lent to a cell that it has not asked for yet.
 func (s *spiller) unheard(cell string) (n int) {
 	for _, lending := range s.lendings {
@@ -279,7 +282,8 @@
 	return record == nil || record.State == spill.Home && model.Micros(c.wall()-record.SinceMs)*model.Millisecond >= s.policy.Stay
 }
 
-// offer asks a cell whether it takes a job, with token 0, or offers what is lent to it.
+// offer asks a cell whether it takes a job, with token 0, or offers what is lent to it. The
+// call goes on beside the actor, so it gets a set of finished tasks of its own.
 func (s *spiller) offer(job, cell string, token uint64) {
 	c := s.l.c
 	js, view := s.l.block.Jobs[job], c.view.Jobs[job]
@@ -287,7 +291,7 @@
 		return
 	}
 	c.cells.offer(msgOffered{cell: cell, job: job, sent: c.now, term: s.l.token,
-		offer: &spill.Offer{Home: s.policy.Cell, Token: token, Spec: view.Submission, Done: js.Done.Bytes(), Trace: s.traceOf(job)}})
+		offer: &spill.Offer{Home: s.policy.Cell, Token: token, Spec: view.Submission, Done: slices.Clone(js.Done.Bytes()), Trace: s.traceOf(job)}})
 }
 
 // traceOf is the trace of a lending, "" if there is none.
@@ -301,11 +305,7 @@
 // offered takes a cell's answer to an offer.
 func (s *spiller) offered(m msgOffered) {
 	c := s.l.c
-	contact := s.contacts[m.cell]
-	if contact == nil {
-		contact = &spill.Contact{}
-		s.contacts[m.cell] = contact
-	}
+	contact := s.contact(m.cell)
 	if m.offer.Token == 0 {
 		delete(s.probing, m.cell)
 	}
@@ -343,7 +343,7 @@
 			s.complained[cell] = true
 			slog.Error("nothing is lent to this cell: its workers' lease does not fit into cancel_s", "cell", cell, "lease_s", workerLease.Seconds(), "cancel_s", cancel.Seconds())
 		}
-		s.contacts[cell].Failed(refusalQuiet, c.jitter(), c.now)
+		s.contact(cell).Failed(refusalQuiet, c.jitter(), c.now)
 		return
 	}
 	record := spill.OutRecord{Cell: cell, Token: s.l.block.NextAttempt(), State: spill.Lent, SinceMs: c.wall(),
