Tests: the number of drawn schedules is set once, 300 each

TestDutiesUnderRandomFailures set the global number for its own duration; since it runs in parallel with others, how many these drew depended on chance (100 or 300).

--- a/internal/node/duties_test.go
+++ b/internal/node/duties_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"slices"
 	"strings"
 	"testing"
@@ -525,18 +524,6 @@
 // holders, nothing is rented or returned that was not decided, and no rule is broken.
 func TestDutiesUnderRandomFailures(t *testing.T) {
 	t.Parallel()
-	checks := flag.Lookup("rapid.checks")
-	before := checks.Value.String()
-	if before == checks.DefValue {
-		if err := flag.Set("rapid.checks", "300"); err != nil {
-			t.Fatal(err)
-		}
-		defer func() {
-			if err := flag.Set("rapid.checks", before); err != nil {
-				t.Fatal(err)
-			}
-		}()
-	}
 	held := 0
 	rapid.Check(t, func(rt *rapid.T) {
 		w := newDutyWorld(t, rapid.Uint64().Draw(rt, "seed"), rapid.SampledFrom([]string{spreadDuties, leaderDuties}).Draw(rt, "file"))
--- a/internal/node/sim_test.go
+++ b/internal/node/sim_test.go
@@ -16,7 +16,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true"} {
+	for name, value := range map[string]string{"rapid.seed": "20261201", "rapid.nofailfile": "true", "rapid.checks": "300"} {
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			if err := flag.Set(name, value); err != nil {
 				panic(err)
