Calls between cells: finished tasks that a job does not have are refused

Found on reading: a set with members beyond the job's tasks counted towards its completeness in the guest, whose word that all is done home took for every task. Such an offer is refused with its field, and of an array home takes the tasks that are named, whatever is said of the whole.

--- a/internal/cellrpc/cellrpc.go
+++ b/internal/cellrpc/cellrpc.go
@@ -59,6 +59,9 @@
 	if err != nil {
 		return nil, status.Error(codes.InvalidArgument, "spec: "+err.Error())
 	}
+	if !model.IsSetOf(r.GetDone(), spec.Tasks) {
+		return nil, status.Error(codes.InvalidArgument, "done: a task that the job does not have")
+	}
 	a, err := s.handler.Offer(&spill.Offer{Home: r.GetHome(), Token: r.GetToken(), Spec: spec, Done: r.GetDone(), Trace: r.GetTrace()})
 	if err != nil {
 		return nil, asStatus(err)
--- a/internal/cellrpc/cellrpc_test.go
+++ b/internal/cellrpc/cellrpc_test.go
@@ -80,6 +80,10 @@
 			_, err := client.Offer(t.Context(), &spill.Offer{Home: "north", Token: 3}, []byte(`{"ref":"?"}`))
 			return err
 		},
+		"done: a task that": func() error {
+			_, err := client.Offer(t.Context(), &spill.Offer{Home: "north", Token: 3, Done: []byte{4}}, []byte(spec))
+			return err
+		},
 		"jobs[0].token":   func() error { return renew(client, spill.JobReport{Job: "j-1"}) },
 		"jobs[0].job":     func() error { return renew(client, spill.JobReport{Job: "../x", Token: 1}) },
 		"worker_lease_us": func() error { _, err := client.Renew(t.Context(), &spill.Renewal{Guest: "west"}); return err },
--- a/internal/core/block/suspend.go
+++ b/internal/core/block/suspend.go
@@ -73,15 +73,21 @@
 	}
 }
 
-// CompleteElsewhere takes note of tasks that have finished in another cell. A completion is
-// a fact, whoever had the right to run the job.
-func (h *State) CompleteElsewhere(js *model.JobState, done []byte, all bool, now model.Micros) {
+// CompleteElsewhere takes note of tasks that have finished in another cell: each task of an
+// array, a gang as a whole. A completion is a fact, whoever had the right to run the job.
+func (h *State) CompleteElsewhere(js *model.JobState, done []byte, whole bool, now model.Micros) {
+	if js.Kind == model.Gang {
+		if whole {
+			h.complete(model.TaskID{Job: js.ID}, nil, now)
+		}
+		return
+	}
 	reported := model.SetOf(done)
-	if reported.Len() == 0 && !all {
+	if reported.Len() == 0 {
 		return
 	}
 	for i := range js.Tasks {
-		if all || reported.Has(i) {
+		if reported.Has(i) {
 			h.complete(model.TaskID{Job: js.ID, Index: i}, nil, now)
 		}
 	}
--- a/internal/core/model/fleet.go
+++ b/internal/core/model/fleet.go
@@ -67,6 +67,18 @@
 // Parts is the number of such entries.
 func Parts(tasks int) int { return (tasks + TasksPerPart - 1) / TasksPerPart }
 
+// IsSetOf tells whether the stored form of a set has no member beyond so many tasks.
+func IsSetOf(bits []byte, tasks int) bool {
+	for i, b := range bits {
+		for k := range 8 {
+			if b&(1<<k) != 0 && i*8+k >= tasks {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Bytes is the stored form.
 func (s *Set) Bytes() []byte { return s.bits }
 
--- a/internal/node/hosting.go
+++ b/internal/node/hosting.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 
@@ -144,7 +145,7 @@
 			hosting.Consider(s.policy.Start, l.c.now)
 		}
 		if js != nil && js.UnknownToWorkers {
-			s.unknown[key] = l.c.now
+			s.noteUnknown(key)
 			hosting.GiveBack()
 		}
 		if hosting.GivingBack() && !hosting.IsReturned() && !bound {
@@ -153,6 +154,13 @@
 	}
 }
 
+// noteUnknown keeps a job out for a while that the workers do not know.
+func (s *spiller) noteUnknown(key string) {
+	now := s.l.c.now
+	maps.DeleteFunc(s.unknown, func(_ string, at model.Micros) bool { return now-at >= unknownPause })
+	s.unknown[key] = now
+}
+
 // orphaned tells that a job's home can't be asked, as it is not in the file, and the right
 // to run the job is over. A guest may forget what it has nothing bound of at any time.
 func (s *spiller) orphaned(hosting *spill.Hosting) bool {
@@ -262,7 +270,7 @@
 	c.leading.provisionSoon = true
 }
 
-// offer answers another cell that asks whether a job is taken, or lends it.
+// takeOffer answers another cell that asks whether a job is taken, or lends it.
 func (s *spiller) takeOffer(o *spill.Offer) *spill.OfferAnswer {
 	answer := &spill.OfferAnswer{WorkerLease: model.Seconds(s.l.c.set.Params.Workers.LeaseS)}
 	answer.Refusal, answer.Detail = s.whyNot(o)
@@ -298,7 +306,7 @@
 	if o.Token != 0 && s.has(key, o.Token) {
 		return spill.NotRefused, ""
 	}
-	if hosting := s.hostings[key]; hosting != nil && (hosting.Token > o.Token && o.Token != 0 || !hosting.IsReturned() && !hosting.IsOver()) || block.Jobs[job] != nil && block.Jobs[job].HomeCell != "" {
+	if s.stale(key, o.Token) {
 		return spill.Stale, ""
 	}
 	if c.view.Known(job) {
@@ -329,6 +337,20 @@
 	return spill.NotRefused, ""
 }
 
+// stale tells that an earlier lending of a job is not gone yet, or that a later one than
+// that under the token is known.
+func (s *spiller) stale(key string, token uint64) bool {
+	if js := s.l.block.Jobs[jobOf(key)]; js != nil && js.HomeCell != "" {
+		return true
+	}
+	hosting := s.hostings[key]
+	if hosting == nil {
+		return false
+	}
+	gone := hosting.IsReturned() || hosting.IsOver()
+	return !gone || token != 0 && token < hosting.Token
+}
+
 // canServe tells whether a job would begin soon: beside room that is left beyond this
 // cell's own headroom, or on machines that the cloud may have.
 func (s *spiller) canServe(o *spill.Offer, spec *model.Job) bool {
--- a/internal/spill/messages.go
+++ b/internal/spill/messages.go
@@ -65,7 +65,7 @@
 	// Returned tells that nothing of it is bound, and never will be under this token: the
 	// guest's state service says so, or the home cell has said that the job has ended.
 	Returned bool
-	// Complete tells that all of the job is done.
+	// Complete tells that all of the job is done; of an array Done says so, too.
 	Complete bool
 	Running  int    // tasks on machines
 	Done     []byte // finished tasks
