Cells connect to each other as siblings do

Found on reading the whole change: the client of other cells set its connections up without the limits that the one of siblings has, so gRPC's own backoff held, which grows to two minutes: a cell that is back after a long absence could have stayed unreachable for that long, and lent work would have been run again at home. One function makes both kinds of connection now.

--- a/internal/cellrpc/cellrpc.go
+++ b/internal/cellrpc/cellrpc.go
@@ -14,11 +14,11 @@
 	"buf.build/go/protovalidate"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 	"google.golang.org/protobuf/proto"
 
 	"woadweir/internal/core/model"
+	"woadweir/internal/peer"
 	"woadweir/internal/spill"
 )
 
@@ -109,7 +109,7 @@
 func Dial(cell string, addresses []string) (*Client, error) {
 	c := &Client{cell: cell}
 	for _, address := range addresses {
-		conn, err := grpc.NewClient("passthrough:///"+address, grpc.WithTransportCredentials(insecure.NewCredentials()))
+		conn, err := peer.Connect(address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -76,11 +76,18 @@
 	rpc  PeerClient
 }
 
-// Dial prepares a client; it connects when it is first used.
-func Dial(name, endpoint string) (*Client, error) {
-	conn, err := grpc.NewClient("passthrough:///"+endpoint, grpc.WithTransportCredentials(insecure.NewCredentials()),
+// Connect prepares a connection to a controller of this cell or of another. Once that is
+// back after an absence, however long, it is reached within seconds: gRPC's own backoff
+// grows to two minutes.
+func Connect(endpoint string) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///"+endpoint, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second,
 			Backoff: backoff.Config{BaseDelay: 200 * time.Millisecond, Multiplier: 1.5, Jitter: 0.2, MaxDelay: 2 * time.Second}}))
+}
+
+// Dial prepares a client; it connects when it is first used.
+func Dial(name, endpoint string) (*Client, error) {
+	conn, err := Connect(endpoint)
 	if err != nil {
 		return nil, err
 	}
