--- a/review/casework/cloud.go
+++ b/review/casework/cloud.go
@@ -56,8 +56,7 @@
 }
 
 func newCloud(w *world, types []machineType, capacity int, rps float64, lag, latency time.Duration, times workerTimes) *cloudService {
-	c := &cloudService{world: w, types: types, capacity: capacity, requests: newBucket(2 * rps), lag: lag, latency: latency, times: times, hires: map[string][]string{}}
-	c.requests.rate = rps
+	c := &cloudService{world: w, types: types, capacity: capacity, requests: newBucket(rps, 2), lag: lag, latency: latency, times: times, hires: map[string][]string{}}
 	listener := listen()
 	c.Address = listener.Addr().String()
 	go func() { _ = (&http.Server{Handler: c}).Serve(listener) }()
@@ -80,13 +79,8 @@
 func (c *cloudService) answer(r *http.Request, body []byte) (int, any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if now := time.Now(); true { // bursts worth two seconds
-		c.requests.tokens = min(2*c.requests.rate, c.requests.tokens+c.requests.rate*now.Sub(c.requests.at).Seconds())
-		c.requests.at = now
-		if c.requests.tokens < 1 {
-			return 429, errorAnswer{"too many requests"}
-		}
-		c.requests.tokens--
+	if !c.requests.take(1) {
+		return 429, errorAnswer{"too many requests"}
 	}
 	switch {
 	case r.URL.Path == "/flavors":
@@ -210,7 +204,6 @@
 	bundle                   string
 	pieces                   int
 	runs                     time.Duration
-	withdrawnAt              time.Time // when its user was told
 }
 
 func newWorld() *world {
@@ -244,3 +237,15 @@
 	}
 	return n
 }
+
+// onMachines returns the number of a job's tasks that are on machines.
+func (w *world) onMachines(ref string) (n int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for piece := range w.onMachine {
+		if strings.HasPrefix(piece, ref+"/") {
+			n++
+		}
+	}
+	return n
+}
--- a/review/casework/nodes.go
+++ b/review/casework/nodes.go
@@ -75,17 +75,16 @@
 	if err != nil {
 		cannotRun("%v", err)
 	}
-	n.process = exec.Command(program, "--config", n.settings)
-	n.process.Stderr = logFile
-	n.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // should this process be killed
-	n.process.Env = append(os.Environ(), "LOG_LEVEL="+logLevel())
-	if err := n.process.Start(); err != nil {
+	process := exec.Command(program, "--config", n.settings)
+	process.Stderr = logFile
+	process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // should this process be killed
+	process.Env = append(os.Environ(), "LOG_LEVEL="+logLevel())
+	if err := process.Start(); err != nil {
 		cannotRun("%v (the program is to be built first)", err)
 	}
 	_ = logFile.Close()
 	exited := make(chan struct{})
-	n.exited = exited
-	process := n.process
+	n.process, n.exited = process, exited
 	go func() { _ = process.Wait(); close(exited) }()
 	note("%s started", n.name)
 }
@@ -121,11 +120,6 @@
 	}
 }
 
-func (n *node) signal(signal syscall.Signal) {
-	_ = n.process.Process.Signal(signal)
-	note("%s: %v", n.name, signal)
-}
-
 func (d *deployment) killAll() {
 	for _, n := range d.nodes {
 		n.kill()
@@ -156,14 +150,18 @@
 }
 
 // residentKB returns the memory that a controller holds.
-func (n *node) residentKB() (kb int) {
-	if n.process == nil {
+func (n *node) residentKB() int { return n.statusKB("VmRSS") }
+
+// statusKB returns an amount of memory from the status of a controller's process.
+func (n *node) statusKB(field string) (kb int) {
+	process := n.process
+	if process == nil {
 		return 0
 	}
-	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.process.Process.Pid))
+	raw, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.Process.Pid))
 	for _, line := range strings.Split(string(raw), "\n") {
-		if strings.HasPrefix(line, "VmRSS:") {
-			_, _ = fmt.Sscanf(line, "VmRSS: %d kB", &kb)
+		if strings.HasPrefix(line, field+":") {
+			_, _ = fmt.Sscanf(line[len(field)+1:], "%d kB", &kb)
 		}
 	}
 	return kb
--- a/review/casework/state.go
+++ b/review/casework/state.go
@@ -53,17 +53,19 @@
 	expires time.Time
 }
 
-// bucket limits a rate, with bursts of one second's worth.
+// bucket limits a rate, with bursts of some seconds' worth.
 type bucket struct {
-	rate, tokens float64
-	at           time.Time
+	rate, burst, tokens float64
+	at                  time.Time
 }
 
-func newBucket(rate float64) bucket { return bucket{rate, rate, time.Now()} }
+func newBucket(rate, seconds float64) bucket {
+	return bucket{rate, rate * seconds, rate * seconds, time.Now()}
+}
 
 func (b *bucket) take(n int) bool {
 	now := time.Now()
-	b.tokens = min(b.rate, b.tokens+b.rate*now.Sub(b.at).Seconds())
+	b.tokens = min(b.burst, b.tokens+b.rate*now.Sub(b.at).Seconds())
 	b.at = now
 	if b.tokens < float64(n) {
 		return false
@@ -73,16 +75,15 @@
 }
 
 const (
-	keptEvents   = 10_000
-	pageItems    = 1000
-	pageBytes    = 512 << 10
-	maxTxnBytes  = 64 << 10
-	maxLeaseLate = 100 * time.Millisecond
+	keptEvents  = 10_000
+	pageItems   = 1000
+	pageBytes   = 512 << 10
+	maxTxnBytes = 64 << 10
 )
 
 func newState(rps, writeRPS float64, valueKB, txnOps int, latency time.Duration) *stateService {
 	s := &stateService{keys: map[string]*stateEntry{}, leases: map[uint64]*stateLease{}, changed: make(chan struct{}),
-		latency: latency, requests: newBucket(rps), writes: newBucket(writeRPS), valueKB: valueKB, txnOps: txnOps}
+		latency: latency, requests: newBucket(rps, 1), writes: newBucket(writeRPS, 1), valueKB: valueKB, txnOps: txnOps}
 	listener := listen()
 	s.Address = listener.Addr().String()
 	go func() { _ = (&http.Server{Handler: s}).Serve(listener) }()
