--- a/review/casework/cloud.go
+++ b/review/casework/cloud.go
@@ -36,6 +36,7 @@
 	mu       sync.Mutex
 	types    []machineType
 	capacity int // of each type, zone and kind
+	noSpot   bool
 	latency  time.Duration
 	lag      time.Duration
 	requests bucket
@@ -138,7 +139,11 @@
 			used++
 		}
 	}
-	count := min(request.Count, c.capacity-used)
+	capacity := c.capacity
+	if request.Loaners && c.noSpot {
+		capacity = 0
+	}
+	count := min(request.Count, capacity-used)
 	var size *machineType
 	for i := range c.types {
 		if c.types[i].Label == request.Build {
@@ -192,9 +197,10 @@
 // world is what workers know of jobs, and what is seen on the machines.
 type world struct {
 	mu        sync.Mutex
-	jobs      map[string]*jobSpec // submitted
-	completed map[string]bool     // by task
-	onMachine map[string]string   // task -> machine, from its image on
+	jobs      map[string]*jobSpec      // submitted
+	completed map[string]bool          // by task
+	onMachine map[string]string        // task -> machine, from its image on
+	gangs     map[string][]*workerTask // by job and attempt: tasks that have their image
 	starts    int
 	broken    []string
 }
@@ -204,10 +210,11 @@
 	bundle                   string
 	pieces                   int
 	runs                     time.Duration
+	gang                     bool
 }
 
 func newWorld() *world {
-	return &world{jobs: map[string]*jobSpec{}, completed: map[string]bool{}, onMachine: map[string]string{}}
+	return &world{jobs: map[string]*jobSpec{}, completed: map[string]bool{}, onMachine: map[string]string{}, gangs: map[string][]*workerTask{}}
 }
 
 // add tells the workers of a job before it is submitted.
@@ -215,7 +222,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.jobs[job["ref"].(string)] = &jobSpec{cores: job["cores"].(float64), memoryGb: job["memoryGb"].(float64), imageGb: job["imageGb"].(float64),
-		bundle: job["bundle"].(string), pieces: job["pieces"].(int), runs: runs}
+		bundle: job["bundle"].(string), pieces: job["pieces"].(int), runs: runs, gang: job["shape"] == "gang"}
 }
 
 func (w *world) job(task string) *jobSpec {
--- a/review/casework/worker.go
+++ b/review/casework/worker.go
@@ -4,9 +4,11 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -14,7 +16,7 @@
 // maxLine is the longest line that a response to a worker may contain.
 const maxLine = 64 << 10
 
-// worker is a stand-in for a machine's worker, for tasks that are independent.
+// worker is a stand-in for a machine's worker.
 type worker struct {
 	machine *machine
 	nodes   []*node
@@ -44,6 +46,7 @@
 	Status string `json:"status"`
 	Cause  string `json:"cause,omitempty"`
 	spec   *jobSpec
+	worker *worker
 }
 
 func newWorker(m *machine, nodes []*node, times workerTimes, w *world) *worker {
@@ -248,7 +251,7 @@
 			inUse = inUse || task.Piece == piece
 		}
 	}
-	task := &workerTask{Piece: piece, Try: try, Status: "pulling", spec: spec}
+	task := &workerTask{Piece: piece, Try: try, Status: "pulling", spec: spec, worker: w}
 	w.tasks = append(w.tasks, task)
 	w.changed()
 	const tolerance = 1e-6
@@ -290,6 +293,48 @@
 		w.finish(task, "done")
 		return
 	}
+	if task.spec.gang && task.spec.pieces > 1 {
+		task.Status = "gathering"
+		time.AfterFunc(gangWait, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if task.Status == "gathering" {
+				w.finish(task, "alone")
+			}
+		})
+		go w.world.gather(task)
+		return
+	}
+	w.runTask(task)
+}
+
+// gangWait is the site's gang_wait_s.
+const gangWait = 35 * time.Second
+
+// gather starts a gang once all its tasks of an attempt have their image. What becomes of a
+// gang that loses a task isn't played: no case has that.
+func (w *world) gather(task *workerTask) {
+	ref, _, _ := strings.Cut(task.Piece, "/")
+	key := fmt.Sprintf("%s#%d", ref, task.Try)
+	w.mu.Lock()
+	w.gangs[key] = append(w.gangs[key], task)
+	members := w.gangs[key]
+	w.mu.Unlock()
+	if len(members) < task.spec.pieces {
+		return
+	}
+	for _, member := range members {
+		member.worker.mu.Lock()
+		if member.Status == "gathering" {
+			member.worker.runTask(member)
+			member.worker.changed()
+		}
+		member.worker.mu.Unlock()
+	}
+}
+
+// runTask lets a task run. w.mu is held.
+func (w *worker) runTask(task *workerTask) {
 	task.Status = "running"
 	time.AfterFunc(task.spec.runs, func() {
 		w.mu.Lock()
