--- a/review/casework/gang.go
+++ b/review/casework/gang.go
@@ -7,6 +7,62 @@
 
 func init() { cases["gang"] = runGang }
 
+// The settings are those of quito-egresados.
+const egresadosParams = `[params]
+nodes = 3
+zones = ["quito-norte"]
+clock_error_ms = 1000.0
+[[params.teams]]
+name = "registro"
+cpus = 520.0
+cpus_max = 1744.0
+gpus = 40.0
+gpus_max = 88.0
+[[params.teams]]
+name = "relaciones"
+cpus = 584.0
+cpus_max = 1456.0
+gpus = 48.0
+gpus_max = 144.0
+[[params.objectives]]
+kind = "wait"
+class = "padron-sync"
+within_s = 8.0
+share = 0.92
+[[params.objectives]]
+kind = "wait"
+class = "padron-sync"
+within_s = 18.0
+share = 0.97
+[[params.objectives]]
+kind = "finished"
+class = "padron-sync"
+within_s = 180.0
+share = 0.95
+[[params.objectives]]
+kind = "guarantee"
+within_s = 5.0
+share = 0.88
+[params.workers]
+report_s = 2.5
+lease_s = 18.0
+gang_wait_s = 35.0
+gang_peer_s = 4.0
+cancel_s = 43.0
+[params.state]
+rps = 100.0
+write_rps = 25.0
+value_kb = 32.0
+txn_ops = 16
+[params.cloud]
+rps = 5.0
+list_lag_s = 3.0
+[params.quota]
+cores = 0.18
+ram_mb = 125.0
+fd_limit = 1500
+`
+
 // runGang: gangs come several times as often, and the cloud has no machine left for one of
 // them. Other work comes after them.
 func runGang(trouble bool) int {
@@ -14,7 +70,7 @@
 	w := newWorld()
 	types := []machineType{{"oficina-sixteen", 16, 0, 64, 60, 0.2, 0.86, 0.2, 2, []string{"quito-norte"}}}
 	cloud := newCloud(w, types, 3, 5, 3*time.Second, 50*time.Millisecond, workerTimes{2500 * time.Millisecond, 18 * time.Second})
-	d := newDeployment([]string{"weirhost-0", "weirhost-1", "weirhost-2", "weirhost-3", "weirhost-4"}, "quito-norte", state.Address, cloud.Address, quitoParams)
+	d := newDeployment([]string{"weirhost-0", "weirhost-1", "weirhost-2"}, "quito-norte", state.Address, cloud.Address, egresadosParams)
 	cloud.nodes, cloud.noSpot = d.nodes, true
 	for _, n := range d.nodes {
 		n.start()
@@ -44,19 +100,19 @@
 	add(service, time.Hour)
 	waitFor("j-000001", 1)
 	gang := func(ref string, pieces int) map[string]any {
-		job := arrayJob(ref, "padron-sync", "relaciones", pieces, 15, 51, 8)
+		job := arrayJob(ref, "padron-sync", "relaciones", pieces, 15, 51, 100)
 		job["shape"], job["rank"], job["loaners"], job["keepsakeS"], job["stowS"] = "gang", "urgent", false, 15.0, 5.0
 		return job
 	}
-	add(gang("j-000002", 1), 8*time.Second)
+	add(gang("j-000002", 1), 100*time.Second)
 	waitFor("j-000002", 1)
 	if trouble {
-		add(gang("j-000003", 3), 8*time.Second)
-		add(gang("j-000004", 3), 8*time.Second)
+		add(gang("j-000003", 3), 100*time.Second)
+		add(gang("j-000004", 3), 100*time.Second)
 	}
 	time.Sleep(8 * time.Second)
 	const cores, memory = 2, 6.4
-	array := arrayJob("j-000005", "photo-match", "registro", 6, cores, memory, 20)
+	array := arrayJob("j-000005", "register-check", "registro", 6, cores, memory, 20)
 	array["rank"] = "idle"
 	add(array, 10*time.Second)
 	var waitsSince time.Time // since when a machine that fits has had room, and nothing of the job runs
