--- a/review/casework/memory.go
+++ b/review/casework/memory.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -99,8 +100,8 @@
 
 const (
 	memoryLimitKB = 220_000_000 / 1024
-	fleetRestart  = 4 * time.Second  // the site's restart_delay_s
-	startEvery    = 10 * time.Second // the controllers start one after the other
+	fleetRestart  = 4 * time.Second // the site's restart_delay_s
+	startEvery    = 8 * time.Second // the controllers start one after the other
 )
 
 // runMemory: a deployment that has been in service for some days, whose platform ends
@@ -141,19 +142,28 @@
 		}()
 	}
 	// All controllers have been started once, and nothing else happens.
-	over := startedAt.Add(2*startEvery + 5*time.Second)
+	over := startedAt.Add(2*startEvery + 3*time.Second)
 	lastAnswer := map[string]time.Time{}
-	for time.Since(over) < silence+8*time.Second {
+	for time.Since(over) < silence+3*time.Second {
 		answered, most := 0, 0
+		var mu sync.Mutex
+		var polls sync.WaitGroup
 		for _, n := range d.nodes {
+			most = max(most, n.anonymousKB())
 			for _, ref := range refs {
-				if code, raw := ask("GET", n.serve, "/work/"+ref, nil, pollTimeout); code == 200 && parseJobAnswer(raw).Status == "done" {
+				polls.Go(func() {
+					code, raw := ask("GET", n.serve, "/work/"+ref, nil, pollTimeout)
+					if code != 200 || parseJobAnswer(raw).Status != "done" {
+						return
+					}
+					mu.Lock()
+					defer mu.Unlock()
 					answered++
 					lastAnswer[ref] = time.Now()
-				}
+				})
 			}
-			most = max(most, n.anonymousKB())
 		}
+		polls.Wait()
 		note("answers 200: %d of %d; most memory of a controller %d KB; ended by the platform %d times; %v", answered, len(refs)*len(d.nodes), most, kills.Load(), state.counters())
 		if answered == len(refs)*len(d.nodes) && time.Since(over) > 20*time.Second {
 			break
