--- /dev/null
+++ b/review/casework2/worker.go
@@ -0,0 +1,298 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+)
+
+// answerTimeout is how long a worker waits for the answer to a report.
+const answerTimeout = 4 * time.Second
+
+// fleet has all workers, and what the tasks' descriptions say: workers fetch those
+// themselves.
+type fleet struct {
+	settings *deployment
+	record   *record
+
+	mu      sync.Mutex
+	jobs    map[string]*job // submitted jobs
+	workers []*worker
+	done    map[string]bool // pieces that have completed: their result is kept
+	broken  []string        // starts that break a rule
+}
+
+func newFleet(d *deployment, rec *record) *fleet {
+	return &fleet{settings: d, record: rec, jobs: map[string]*job{}, done: map[string]bool{}}
+}
+
+type piece struct {
+	name   string // "j-000412/3"
+	job    *job
+	try    uint64
+	status string
+	cause  string
+	since  time.Time // when it came to run
+}
+
+// onMachine reports whether the piece has its image and has not ended.
+func (p *piece) onMachine() bool { return p.status == "running" }
+
+// worker is a stand-in for the worker of one machine. It runs arrays: pieces that do not
+// save their progress.
+type worker struct {
+	fleet   *fleet
+	machine *machine
+	size    machineType
+	address string
+
+	mu       sync.Mutex
+	tenure   uint64
+	tally    uint64
+	warrant  uint64
+	pieces   []*piece
+	answered time.Time // when the last answered report was sent
+	ended    bool
+	node     int
+	soon     chan struct{}
+}
+
+func (f *fleet) newWorker(m *machine, size machineType) *worker {
+	w := &worker{fleet: f, machine: m, size: size, address: "127.0.0.1:1", tenure: 1, soon: make(chan struct{}, 1)}
+	f.mu.Lock()
+	f.workers = append(f.workers, w)
+	f.mu.Unlock()
+	go w.run()
+	return w
+}
+
+// end ends the machine with everything on it.
+func (w *worker) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ended, w.pieces = true, nil
+}
+
+func (w *worker) changed() {
+	select {
+	case w.soon <- struct{}{}:
+	default:
+	}
+}
+
+func (w *worker) run() {
+	time.Sleep(time.Until(w.machine.up))
+	w.mu.Lock()
+	w.answered = time.Now()
+	w.node = rand.IntN(len(w.fleet.settings.nodes))
+	w.mu.Unlock()
+	go w.watchLease()
+	client := &http.Client{}
+	for {
+		pause, ok := w.report(client)
+		if !ok {
+			return
+		}
+		early := time.NewTimer(min(pause, 500*time.Millisecond))
+		<-early.C
+		if rest := pause - 500*time.Millisecond; rest > 0 {
+			select {
+			case <-time.After(rest):
+			case <-w.soon:
+			}
+		}
+	}
+}
+
+// watchLease ends all pieces when the lease is over.
+func (w *worker) watchLease() {
+	for range time.Tick(20 * time.Millisecond) {
+		w.mu.Lock()
+		if w.ended {
+			w.mu.Unlock()
+			return
+		}
+		if time.Since(w.answered) > w.fleet.settings.lease {
+			if len(w.pieces) > 0 {
+				w.fleet.record.add("worker %s: lease over, %d pieces killed", w.machine.ref, len(w.pieces))
+			}
+			w.pieces, w.answered = nil, time.Now()
+			w.tenure++
+			w.changed()
+		}
+		w.mu.Unlock()
+	}
+}
+
+// report sends a report and carries out the orders of the answer. It returns the time until
+// the next report.
+func (w *worker) report(client *http.Client) (pause time.Duration, ok bool) {
+	w.mu.Lock()
+	if w.ended {
+		w.mu.Unlock()
+		return 0, false
+	}
+	w.tally++
+	sent, tenure, node := time.Now(), w.tenure, w.fleet.settings.nodes[w.node%len(w.fleet.settings.nodes)]
+	body := w.body()
+	w.mu.Unlock()
+	code, raw := post(client, node.serve, "/checkin", body, answerTimeout)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var answer struct {
+		Warrant *uint64
+		Steward string
+		Orders  []struct {
+			Verb, Piece string
+			Try         uint64
+		}
+	}
+	_ = json.Unmarshal(raw, &answer) // an answer that can't be read has no orders
+	if code == 421 {
+		at := slices.IndexFunc(w.fleet.settings.nodes, func(n node_) bool { return n.name == answer.Steward })
+		if at >= 0 && at != w.node%len(w.fleet.settings.nodes) {
+			w.node = at
+			return time.Duration(rand.Int64N(int64(500 * time.Millisecond))), true
+		}
+	}
+	if code != 200 {
+		w.node++
+		return time.Second, true
+	}
+	interval := w.fleet.settings.report
+	pause = interval*3/4 + time.Duration(rand.Int64N(int64(interval/2)))
+	if answer.Warrant == nil || *answer.Warrant < w.warrant || tenure != w.tenure || w.ended {
+		return pause, true
+	}
+	w.answered = sent
+	if *answer.Warrant > w.warrant {
+		w.warrant = *answer.Warrant
+		w.changed()
+	}
+	for _, order := range answer.Orders {
+		w.fleet.record.add("worker %s: order %s %s try %d", w.machine.ref, order.Verb, order.Piece, order.Try)
+		w.carryOut(order.Verb, order.Piece, order.Try)
+	}
+	return pause, true
+}
+
+// body returns the report.
+func (w *worker) body() []byte {
+	pieces := []any{}
+	for _, p := range w.pieces {
+		status := map[string]any{"piece": p.name, "try": p.try, "status": p.status}
+		if p.cause != "" {
+			status["cause"] = p.cause
+		}
+		pieces = append(pieces, status)
+	}
+	raw, err := json.Marshal(map[string]any{"host": w.machine.ref, "address": w.address, "build": w.machine.build, "yard": w.machine.yard,
+		"loaners": w.machine.loaners, "tenure": w.tenure, "tally": w.tally, "warrant": w.warrant, "recallS": nil, "pieces": pieces})
+	if err != nil {
+		panic(err) // maps of strings and numbers can always be encoded
+	}
+	return raw
+}
+
+func (w *worker) carryOut(verb, name string, try uint64) {
+	at := slices.IndexFunc(w.pieces, func(p *piece) bool { return p.name == name && p.try == try })
+	switch {
+	case verb == "start" && at < 0:
+		w.start(name, try)
+	case verb == "stop" && at >= 0 && w.pieces[at].status != "ended":
+		w.finish(w.pieces[at], "stopped")
+	case verb == "clear" && at >= 0 && w.pieces[at].status == "ended":
+		w.pieces = slices.Delete(w.pieces, at, at+1)
+	}
+}
+
+func (w *worker) finish(p *piece, cause string) {
+	p.status, p.cause = "ended", cause
+	w.fleet.record.add("worker %s: %s try %d ended: %s", w.machine.ref, p.name, p.try, cause)
+	w.changed()
+}
+
+// start starts a piece. Images are fetched at the type's rate, one after the other.
+func (w *worker) start(name string, try uint64) {
+	p := &piece{name: name, try: try, status: "pulling"}
+	p.job = w.fleet.find(name)
+	inUse := slices.ContainsFunc(w.pieces, func(q *piece) bool { return q.name == name && q.status != "ended" })
+	cores, memory := 0.0, 0.0
+	for _, q := range w.pieces {
+		if q.status != "ended" {
+			cores, memory = cores+q.job.Cores, memory+q.job.MemoryGb
+		}
+	}
+	w.pieces = append(w.pieces, p)
+	switch {
+	case p.job == nil:
+		w.finish(p, "unknown")
+	case inUse:
+		w.finish(p, "in_use")
+	case cores+p.job.Cores > w.size.Cores || memory+p.job.MemoryGb > w.size.MemoryGb:
+		w.finish(p, "full")
+	default:
+		time.AfterFunc(time.Duration(p.job.ImageGb/w.size.FetchGbPerS*float64(time.Second)), func() { w.begin(p) })
+	}
+}
+
+// has reports whether the piece is still there and has not ended.
+func (w *worker) has(p *piece) bool { return slices.Contains(w.pieces, p) && p.status != "ended" }
+
+// begin runs a piece that has its image.
+func (w *worker) begin(p *piece) {
+	elsewhere := w.fleet.machinesOf(p.name, w)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.has(p) {
+		return
+	}
+	p.status, p.since = "running", time.Now()
+	w.fleet.started(w, p, elsewhere)
+	duration := p.job.runs
+	if w.fleet.isDone(p.name) {
+		duration = 0 // the result is kept
+	}
+	w.changed()
+	if duration < 0 {
+		return // it runs until it is stopped
+	}
+	time.AfterFunc(duration, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if w.has(p) {
+			w.fleet.complete(p.name)
+			w.finish(p, "done")
+		}
+	})
+}
+
+// post posts a body and returns the answer, or the code 0 if there is none.
+func post(client *http.Client, address, path string, body []byte, timeout time.Duration) (int, []byte) {
+	return request(client, http.MethodPost, address, path, body, timeout)
+}
+
+func request(client *http.Client, method, address, path string, body []byte, timeout time.Duration) (int, []byte) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, raw
+}
