--- a/review/casework2/main.go
+++ b/review/casework2/main.go
@@ -18,7 +18,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(b *bench) error{
-	"crash-all": crashAll,
+	"crash-all":     crashAll,
+	"unknown-field": unknownField,
 }
 
 // bench is what a case works with.
