--- a/review/casework2/main.go
+++ b/review/casework2/main.go
@@ -18,6 +18,7 @@
 
 // cases are the cases by name.
 var cases = map[string]func(b *bench) error{
+	"line-limit":    lineLimit,
 	"unknown-field": unknownField,
 }
 
