--- a/review/casework2/main.go
+++ b/review/casework2/main.go
@@ -19,6 +19,7 @@
 // cases are the cases by name.
 var cases = map[string]func(b *bench) error{
 	"line-limit":    lineLimit,
+	"team-limit":    teamLimit,
 	"unknown-field": unknownField,
 }
 
