--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,4 +5,4 @@
 for program in target/woadweir target/review-2; do
 	[ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review-2 crash-all target/woadweir review/4/record.txt
+exec target/review-2 unknown-field target/woadweir review/4/record.txt
--- a/review/casework2/deployment.go
+++ b/review/casework2/deployment.go
@@ -12,8 +12,8 @@
 	"time"
 )
 
-// node_ is a controller as its settings name it.
-type node_ struct{ name, serve, back string }
+// controllerNode is a controller as its settings name it.
+type controllerNode struct{ name, serve, back string }
 
 // deployment describes a deployment: the limits of its surroundings, and its controllers,
 // which run as processes of the project's program.
@@ -30,31 +30,46 @@
 	capacity                          int
 	cores, ramMB                      float64
 	fdLimit                           int
-	nodes                             []node_
+	nodes                             []controllerNode
 	stateAddress, cloudAddress        string
 	binary, folder                    string
 	processes                         []*exec.Cmd
 	record                            *record
-	stateOf                           map[string]string // another address of the state service for a controller
 }
 
-// freeAddresses returns loopback addresses with free ports.
-func freeAddresses(count int) ([]string, error) {
-	var addresses []string
-	for range count {
-		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+// loopback is the loopback address of this run: runs at the same time do not meet.
+var loopback = fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()>>8&0x7f, os.Getpid()&0xff)
+
+// taken are the addresses that have been given to a controller or a stand-in.
+var taken = map[string]bool{}
+
+// listen listens on a free port that nothing of this run has been given.
+func listen() (net.Listener, error) {
+	for {
+		listener, err := net.Listen("tcp4", loopback+":0")
 		if err != nil {
 			return nil, err
 		}
-		defer listener.Close()
-		addresses = append(addresses, listener.Addr().String())
+		if address := listener.Addr().String(); !taken[address] {
+			taken[address] = true
+			return listener, nil
+		}
+		listener.Close()
+	}
+}
+
+// freeAddress returns a loopback address with a free port.
+func freeAddress() (string, error) {
+	listener, err := listen()
+	if err != nil {
+		return "", err
 	}
-	return addresses, nil
+	return listener.Addr().String(), listener.Close()
 }
 
 // serve serves a stand-in on a free loopback address.
 func serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	listener, err := listen()
 	if err != nil {
 		return "", err
 	}
@@ -64,12 +79,16 @@
 
 // addNodes gives the deployment its controllers.
 func (d *deployment) addNodes(count int) error {
-	addresses, err := freeAddresses(2 * count)
-	if err != nil {
-		return err
-	}
 	for i := range count {
-		d.nodes = append(d.nodes, node_{fmt.Sprintf("weirhost-%d", i), addresses[2*i], addresses[2*i+1]})
+		serve, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		back, err := freeAddress()
+		if err != nil {
+			return err
+		}
+		d.nodes = append(d.nodes, controllerNode{fmt.Sprintf("weirhost-%d", i), serve, back})
 	}
 	d.processes = make([]*exec.Cmd, count)
 	return nil
@@ -80,17 +99,13 @@
 	for i, n := range d.nodes {
 		var b strings.Builder
 		zone := d.zones[i%len(d.zones)]
-		stateAddress := d.stateAddress
-		if other := d.stateOf[n.name]; other != "" {
-			stateAddress = other
-		}
 		fmt.Fprintf(&b, "node_name = %q\narea = %q\nserve_on = %q\nback = %q\n", n.name, zone, n.serve, n.back)
 		for k, other := range d.nodes {
 			if k != i {
 				fmt.Fprintf(&b, "[[siblings]]\nnode_name = %q\narea = %q\nendpoint = %q\n", other.name, d.zones[k%len(d.zones)], other.back)
 			}
 		}
-		fmt.Fprintf(&b, "[services]\ncloud = %q\nstate = %q\n[params]\nnodes = %d\nzones = [\"%s\"]\nclock_error_ms = 100.0\n%s\n", d.cloudAddress, stateAddress,
+		fmt.Fprintf(&b, "[services]\ncloud = %q\nstate = %q\n[params]\nnodes = %d\nzones = [\"%s\"]\nclock_error_ms = 100.0\n%s\n", d.cloudAddress, d.stateAddress,
 			len(d.nodes), strings.Join(d.zones, `", "`), d.teams)
 		fmt.Fprintf(&b, "[params.workers]\nreport_s = %v\nlease_s = %v\ngang_wait_s = %v\ngang_peer_s = %v\ncancel_s = %v\n", d.report.Seconds(), d.lease.Seconds(),
 			d.gangWait.Seconds(), d.gangPeer.Seconds(), d.cancel.Seconds())
@@ -148,36 +163,3 @@
 		d.kill(i)
 	}
 }
-
-// signal sends a controller a signal, to stop or to continue it.
-func (d *deployment) signal(i int, s syscall.Signal) {
-	if process := d.processes[i]; process != nil {
-		_ = process.Process.Signal(s) // it may have ended
-		d.record.add("controller %s: %v", d.nodes[i].name, s)
-	}
-}
-
-// memory returns the resident memory of the controllers, and the most that it was.
-func (d *deployment) memory() string {
-	var all []string
-	for _, process := range d.processes {
-		if process == nil {
-			continue
-		}
-		raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", process.Process.Pid))
-		if err != nil {
-			continue
-		}
-		var now, most string
-		for _, line := range strings.Split(string(raw), "\n") {
-			if text, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-				now = strings.Fields(text)[0]
-			}
-			if text, ok := strings.CutPrefix(line, "VmHWM:"); ok {
-				most = strings.Fields(text)[0]
-			}
-		}
-		all = append(all, now+"/"+most)
-	}
-	return strings.Join(all, " ")
-}
--- a/review/casework2/fleet.go
+++ b/review/casework2/fleet.go
@@ -21,10 +21,7 @@
 
 // machinesOf returns the other machines on which a piece is.
 func (f *fleet) machinesOf(name string, except *worker) (machines []string) {
-	f.mu.Lock()
-	workers := append([]*worker(nil), f.workers...)
-	f.mu.Unlock()
-	for _, w := range workers {
+	for _, w := range f.allWorkers() {
 		if w == except {
 			continue
 		}
@@ -82,3 +79,59 @@
 	}
 	return n
 }
+
+// tooLong records an answer with a line that is too long.
+func (f *fleet) tooLong(w *worker, longest int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.longest = max(f.longest, longest)
+	f.record.add("worker %s: an answer has a line of %d bytes; it can't be read", w.machine.ref, longest)
+}
+
+// member is a piece of a gang with its worker.
+type member struct {
+	worker *worker
+	piece  *piece
+}
+
+// gather adds a piece to its gang. The pieces start together once the last one has its
+// image, and complete together. Nothing ends a machine of a gang in these cases.
+func (f *fleet) gather(w *worker, p *piece) {
+	f.mu.Lock()
+	key := fmt.Sprintf("%s try %d", p.job.Ref, p.try)
+	f.gangs[key] = append(f.gangs[key], member{w, p})
+	gang := f.gangs[key]
+	f.mu.Unlock()
+	if len(gang) < p.job.Pieces {
+		return
+	}
+	for _, m := range gang {
+		go func() {
+			m.worker.mu.Lock()
+			defer m.worker.mu.Unlock()
+			if m.worker.has(m.piece) {
+				m.worker.execute(m.piece)
+			}
+		}()
+	}
+}
+
+// onMachines returns how many pieces of a job are on machines.
+func (f *fleet) onMachines(id string) (n int) {
+	for _, w := range f.allWorkers() {
+		w.mu.Lock()
+		for _, p := range w.pieces {
+			if p.job != nil && p.job.Ref == id && p.onMachine() {
+				n++
+			}
+		}
+		w.mu.Unlock()
+	}
+	return n
+}
+
+func (f *fleet) allWorkers() []*worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*worker(nil), f.workers...)
+}
--- a/review/casework2/main.go
+++ b/review/casework2/main.go
@@ -18,7 +18,6 @@
 
 // cases are the cases by name.
 var cases = map[string]func(b *bench) error{
-	"crash-all":     crashAll,
 	"unknown-field": unknownField,
 }
 
@@ -110,8 +109,8 @@
 		rec.add("the case could not run: %v", err)
 		return failedCode, err
 	}
-	for _, text := range b.fleet.broken {
-		b.broken = append(b.broken, text)
+	if b.fleet != nil {
+		b.broken = append(b.broken, b.fleet.broken...)
 	}
 	for _, text := range b.broken {
 		fmt.Println("rule broken:", text)
--- a/review/casework2/state.go
+++ b/review/casework2/state.go
@@ -77,34 +77,20 @@
 	nextID   uint64
 	requests *bucket
 	writes   *bucket
-	down     bool
-	answers  map[string]map[int]int // by kind of request and status, for the record
 }
 
 func newStateService(d *deployment, latency time.Duration) *stateService {
 	s := &stateService{settings: d, latency: latency, keys: map[string]*storedValue{}, leases: map[uint64]*stateLease{},
-		requests: newBucket(d.rps, d.rps), writes: newBucket(d.writeRPS, d.writeRPS), answers: map[string]map[int]int{}}
+		requests: newBucket(d.rps, d.rps), writes: newBucket(d.writeRPS, d.writeRPS)}
 	go s.expireLeases()
 	return s
 }
 
-// preload stores values as if they had been written earlier, one change each.
-func (s *stateService) preload(values map[string]string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for key, value := range values {
-		s.epoch++
-		s.keys[key] = &storedValue{value: json.RawMessage(value), stamp: s.epoch}
-		s.sorted = append(s.sorted, key)
-	}
-	sort.Strings(s.sorted)
-}
-
 func (s *stateService) expireLeases() {
 	for range time.Tick(leaseLateMax / 4) {
 		s.mu.Lock()
 		for id, l := range s.leases {
-			if !s.down && time.Now().After(l.expires) {
+			if time.Now().After(l.expires) {
 				s.endLease(id)
 			}
 		}
@@ -156,26 +142,12 @@
 	}
 }
 
-// takeAnswers returns the numbers of answers since the last call, by kind and status.
-func (s *stateService) takeAnswers() map[string]map[int]int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	taken := s.answers
-	s.answers = map[string]map[int]int{}
-	return taken
-}
-
 // ServeHTTP answers a request.
 func (s *stateService) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	raw, _ := io.ReadAll(r.Body)
 	time.Sleep(s.latency)
 	s.mu.Lock()
-	kind := strings.SplitN(strings.TrimPrefix(r.URL.Path, "/"), "/", 2)[0]
 	code, body := s.answer(r, raw)
-	if s.answers[kind] == nil {
-		s.answers[kind] = map[int]int{}
-	}
-	s.answers[kind][code]++
 	s.mu.Unlock()
 	writeJSON(w, code, body)
 }
@@ -193,9 +165,6 @@
 func failure(text string) map[string]string { return map[string]string{"error": text} }
 
 func (s *stateService) answer(r *http.Request, raw []byte) (int, any) {
-	if s.down {
-		return 503, failure("trouble")
-	}
 	if !s.requests.take(1) {
 		return 429, failure("too many requests")
 	}
--- a/review/casework2/users.go
+++ b/review/casework2/users.go
@@ -63,7 +63,7 @@
 
 // probe probes a controller about once a second, as the load balancer does: two failures in
 // a row mark it unhealthy, two successes healthy; one suffices for a new one.
-func (u *users) probe(n node_) {
+func (u *users) probe(n controllerNode) {
 	good, bad, ever := 0, 0, false
 	for range time.Tick(time.Second) {
 		if code, _ := request(u.client, http.MethodGet, n.serve, "/up", nil, probeTimeout); code == 200 {
@@ -94,7 +94,7 @@
 
 // send sends a request to a healthy controller, or to any other of three if none accepts.
 func (u *users) send(method, path string, body []byte, timeout time.Duration) (code int, answer jobAnswer, node string) {
-	var nodes []node_
+	var nodes []controllerNode
 	for _, n := range u.settings.nodes {
 		if u.isHealthy(n.name) {
 			nodes = append(nodes, n)
@@ -150,12 +150,3 @@
 	code, answer, _ := u.send(http.MethodGet, "/work/"+id, nil, pollTimeout)
 	return code, answer.Status
 }
-
-// pollAt asks one controller once about a job.
-func (u *users) pollAt(n node_, id string) (code int, status string) {
-	code, raw := request(u.client, http.MethodGet, n.serve, "/work/"+id, nil, pollTimeout)
-	var answer jobAnswer
-	_ = json.Unmarshal(raw, &answer) // other answers have no such fields
-	u.record.add("user: GET /work/%s straight at %s: %d %s", id, n.name, code, answer.Status)
-	return code, answer.Status
-}
--- a/review/casework2/worker.go
+++ b/review/casework2/worker.go
@@ -12,8 +12,12 @@
 	"time"
 )
 
-// answerTimeout is how long a worker waits for the answer to a report.
-const answerTimeout = 4 * time.Second
+const (
+	// answerTimeout is how long a worker waits for the answer to a report.
+	answerTimeout = 4 * time.Second
+	// maxLine is the longest line that a response to a worker may contain (PROTOCOL).
+	maxLine = 64 << 10
+)
 
 // fleet has all workers, and what the tasks' descriptions say: workers fetch those
 // themselves.
@@ -25,11 +29,13 @@
 	jobs    map[string]*job // submitted jobs
 	workers []*worker
 	done    map[string]bool // pieces that have completed: their result is kept
-	broken  []string        // starts that break a rule
+	gangs   map[string][]member
+	longest int      // the longest line in an answer that was too long
+	broken  []string // what breaks a rule
 }
 
 func newFleet(d *deployment, rec *record) *fleet {
-	return &fleet{settings: d, record: rec, jobs: map[string]*job{}, done: map[string]bool{}}
+	return &fleet{settings: d, record: rec, jobs: map[string]*job{}, done: map[string]bool{}, gangs: map[string][]member{}}
 }
 
 type piece struct {
@@ -38,14 +44,13 @@
 	try    uint64
 	status string
 	cause  string
-	since  time.Time // when it came to run
 }
 
 // onMachine reports whether the piece has its image and has not ended.
-func (p *piece) onMachine() bool { return p.status == "running" }
+func (p *piece) onMachine() bool { return p.status == "running" || p.status == "gathering" }
 
-// worker is a stand-in for the worker of one machine. It runs arrays: pieces that do not
-// save their progress.
+// worker is a stand-in for the worker of one machine. It reads answers with lines of up to
+// 64 KiB, as the pages promise. Pieces do not save their progress.
 type worker struct {
 	fleet   *fleet
 	machine *machine
@@ -143,6 +148,10 @@
 	body := w.body()
 	w.mu.Unlock()
 	code, raw := post(client, node.serve, "/checkin", body, answerTimeout)
+	if longest := longestLine(raw); longest > maxLine {
+		w.fleet.tooLong(w, longest)
+		code, raw = 0, nil // it can't be read
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	var answer struct {
@@ -155,7 +164,7 @@
 	}
 	_ = json.Unmarshal(raw, &answer) // an answer that can't be read has no orders
 	if code == 421 {
-		at := slices.IndexFunc(w.fleet.settings.nodes, func(n node_) bool { return n.name == answer.Steward })
+		at := slices.IndexFunc(w.fleet.settings.nodes, func(n controllerNode) bool { return n.name == answer.Steward })
 		if at >= 0 && at != w.node%len(w.fleet.settings.nodes) {
 			w.node = at
 			return time.Duration(rand.Int64N(int64(500 * time.Millisecond))), true
@@ -223,19 +232,14 @@
 	p := &piece{name: name, try: try, status: "pulling"}
 	p.job = w.fleet.find(name)
 	inUse := slices.ContainsFunc(w.pieces, func(q *piece) bool { return q.name == name && q.status != "ended" })
-	cores, memory := 0.0, 0.0
-	for _, q := range w.pieces {
-		if q.status != "ended" {
-			cores, memory = cores+q.job.Cores, memory+q.job.MemoryGb
-		}
-	}
+	free := w.free()
 	w.pieces = append(w.pieces, p)
 	switch {
 	case p.job == nil:
 		w.finish(p, "unknown")
 	case inUse:
 		w.finish(p, "in_use")
-	case cores+p.job.Cores > w.size.Cores || memory+p.job.MemoryGb > w.size.MemoryGb:
+	case !free.fits(p.job):
 		w.finish(p, "full")
 	default:
 		time.AfterFunc(time.Duration(p.job.ImageGb/w.size.FetchGbPerS*float64(time.Second)), func() { w.begin(p) })
@@ -245,7 +249,34 @@
 // has reports whether the piece is still there and has not ended.
 func (w *worker) has(p *piece) bool { return slices.Contains(w.pieces, p) && p.status != "ended" }
 
-// begin runs a piece that has its image.
+// free returns what no piece takes of the machine.
+func (w *worker) free() room {
+	free := room{w.size.Cores, w.size.GPUs, w.size.MemoryGb}
+	for _, p := range w.pieces {
+		if p.status != "ended" {
+			free = room{free.cores - p.job.Cores, free.gpus - p.job.GPUs, free.memory - p.job.MemoryGb}
+		}
+	}
+	return free
+}
+
+// room is what is free on a machine.
+type room struct{ cores, gpus, memory float64 }
+
+// fits reports whether a piece of a job fits. The sums of amounts are not exact.
+func (r room) fits(j *job) bool {
+	const slack = 1e-6
+	return j.Cores <= r.cores+slack && j.GPUs <= r.gpus+slack && j.MemoryGb <= r.memory+slack
+}
+
+func longestLine(body []byte) (longest int) {
+	for line := range bytes.Lines(body) {
+		longest = max(longest, len(line))
+	}
+	return longest
+}
+
+// begin runs a piece that has its image, or a gang of which it is the last.
 func (w *worker) begin(p *piece) {
 	elsewhere := w.fleet.machinesOf(p.name, w)
 	w.mu.Lock()
@@ -253,8 +284,19 @@
 	if !w.has(p) {
 		return
 	}
-	p.status, p.since = "running", time.Now()
 	w.fleet.started(w, p, elsewhere)
+	w.changed()
+	if p.job.Shape == "gang" {
+		p.status = "gathering"
+		w.fleet.gather(w, p)
+		return
+	}
+	w.execute(p)
+}
+
+// execute runs a piece.
+func (w *worker) execute(p *piece) {
+	p.status = "running"
 	duration := p.job.runs
 	if w.fleet.isDone(p.name) {
 		duration = 0 // the result is kept
