Ends of jobs: three guards against a second one, and records go by their key

Cause: no second guard held. The scheduler's write of an end did not look for an end in the view, and took as its guard the stamp of whatever record was there, so the store accepted it over the cancellation. Every view then replaced the one end by the other. And a record was taken for the job that its submission names, not for that of its key.

Change (design.md, Safety, point 8): the leader drops an end for a job that has one in its view, and ends that job in the scheduler; every write that replaces an acceptance (an end, a cancellation, a lending) is guarded by the stamp of that acceptance, which no record but the acceptance ever has; a view that has an end keeps it; a record, and one of a borrowed job, is that of the job in its key, so that one that an earlier version has stored with another id runs as what it was accepted as. Each that catches something logs an error with the job. That line tells a fault before the record is stored from one after it.

Nothing here lies on the path of a report; a submission's record is compared with its key.

--- a/internal/controller/bindings.go
+++ b/internal/controller/bindings.go
@@ -24,7 +24,7 @@
 		return
 	}
 	l.shard.Params.DenseBundles = c.usesDenseLayout()
-	writes := l.shard.Writes(limit, maxTxnBytes)
+	writes := l.withoutEndedJobs(l.shard.Writes(limit, maxTxnBytes))
 	if len(writes) == 0 {
 		return
 	}
@@ -37,22 +37,47 @@
 	c.send(laneBindings, msgCommitted{txn: l.bindingsTxn(writes), writes: writes, token: l.token})
 }
 
+// withoutEndedJobs removes the ends of jobs that have ended already according to the view, and
+// ends these jobs in the scheduler: an end is written only once.
+func (l *leader) withoutEndedJobs(writes []shard.Write) []shard.Write {
+	c := l.controller
+	kept := make([]shard.Write, 0, len(writes))
+	for _, write := range writes {
+		jobID, isEnd := write.EndedJob()
+		end, ended := c.view.EffectiveEnd(jobID)
+		if !isEnd || !ended {
+			kept = append(kept, write)
+			continue
+		}
+		slog.Error("the scheduler has completed a job that has ended already: the first end stays", "job", jobID, "end", end)
+		l.shard.EndJob(jobID, end, c.now)
+	}
+	return kept
+}
+
 // bindingsTxn returns the transaction for the scheduler's writes. It is conditional on the
-// grant and on the known revision of every key, so that a duplicate that is executed late
-// changes nothing.
+// grant, on the acceptance of every job that it ends, and on the known revision of every other
+// key, so that a duplicate that is executed late changes nothing.
 func (l *leader) bindingsTxn(writes []shard.Write) *state.Txn {
 	txn := &state.Txn{Conditions: []state.Condition{{Path: grantKey, Revision: l.token}}}
 	for _, write := range writes {
-		key := write.Key
-		if key == "" {
-			key = state.BundleKey(shardName, write.Slot)
-		}
-		txn.Conditions = append(txn.Conditions, state.Condition{Path: key, Revision: l.controller.view.Revisions[key]})
+		key, revision := l.writeCondition(&write)
+		txn.Conditions = append(txn.Conditions, state.Condition{Path: key, Revision: revision})
 		txn.Then = append(txn.Then, state.Op{Set: key, Value: write.Value})
 	}
 	return txn
 }
 
+// writeCondition returns the key of a write, and the revision that it must have.
+func (l *leader) writeCondition(write *shard.Write) (key string, revision uint64) {
+	view := l.controller.view
+	if jobID, isEnd := write.EndedJob(); isEnd {
+		return write.Key, view.AcceptedRevision(jobID)
+	}
+	key = state.BundleKey(shardName, write.Slot)
+	return key, view.Revisions[key]
+}
+
 // bindingsCommitted handles the outcome of a transaction of the scheduler's writes.
 func (l *leader) bindingsCommitted(m msgCommitted) {
 	c := l.controller
--- a/internal/controller/sim_users_test.go
+++ b/internal/controller/sim_users_test.go
@@ -1,8 +1,11 @@
 package controller
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
+	"strings"
 
 	"woadweir/internal/core/model"
 	"woadweir/internal/userapi"
@@ -19,12 +22,18 @@
 	deadline        model.Micros // the submission is not repeated after this time
 	onAccepted      func()       // called once, when the job is accepted; may be nil
 	cancelVia       *simNode     // the node that gets the cancellation; nil: a random one
+	unknownFields   string       // appended to the fields of the submission's body, each with a comma before it
 }
 
 // submit submits a job through a new user, which cancels it after cancelAfter unless that
 // is 0.
 func (sim *simDeployment) submit(submission *model.Submission, cancelAfter model.Micros) *user {
-	u := &user{sim: sim, submission: submission, deadline: sim.Now + 60*model.Second}
+	return sim.submitWithFields(submission, cancelAfter, "")
+}
+
+// submitWithFields is like submit, for a body with additional fields; see user.unknownFields.
+func (sim *simDeployment) submitWithFields(submission *model.Submission, cancelAfter model.Micros, unknownFields string) *user {
+	u := &user{sim: sim, submission: submission, deadline: sim.Now + 60*model.Second, unknownFields: unknownFields}
 	sim.invariants.Submitted[submission.ID], sim.invariants.Awaits[submission.ID] = submission.Job(0), submission.Awaits
 	if cancelAfter > 0 {
 		u.cancelAt = sim.Now + cancelAfter
@@ -86,8 +95,8 @@
 func (u *user) sendSubmission() {
 	sentAt := u.sim.Now
 	u.sim.sendUserRequest(nil, 5*model.Second, func(r chan<- userapi.Answer) any {
-		submission := *u.submission
-		return msgSubmit{submission.ID, &submission, nil, r}
+		submission, jobID, err := model.ParseSubmission(u.body())
+		return msgSubmit{jobID, submission, err, r}
 	}, func(a userapi.Answer) {
 		switch a.Code {
 		case 200, 201:
@@ -107,6 +116,21 @@
 	})
 }
 
+// body returns the body of the user's submission.
+func (u *user) body() []byte {
+	fields, err := json.Marshal(u.submission)
+	if err != nil {
+		panic(err)
+	}
+	body := strings.TrimSuffix(string(fields), "}")
+	for name, value := range map[string]bool{"samePlace": u.submission.SameZone, "apart": u.submission.Spread, "loaners": u.submission.AllowsSpot} {
+		if !value { // required, but left out by the encoder
+			body += fmt.Sprintf(",%q:false", name)
+		}
+	}
+	return []byte(body + u.unknownFields + "}")
+}
+
 // poll requests the job's status until its end is reported; after that, each further request is
 // sent with a probability of one half. It also cancels the job when it is time to.
 func (u *user) poll() {
--- a/internal/controller/spill_changes.go
+++ b/internal/controller/spill_changes.go
@@ -20,7 +20,7 @@
 
 // writeChanges sends the queued changes, one transaction at a time. Each change is
 // conditional on the grant and on the record's own revision. A lending is also conditional
-// on the revision of the job, so that a job that has ended is never lent.
+// on the acceptance of the job, so that a job that has ended is never lent.
 func (s *spillManager) writeChanges() {
 	c := s.leader.controller
 	if !c.lanes.isFree(laneSpill, c.now) || s.resync || len(s.pendingChanges) == 0 {
@@ -40,7 +40,7 @@
 		}
 		txn.Conditions = append(txn.Conditions, state.Condition{Path: key, Revision: c.view.Revisions[key]})
 		if change.jobID != "" {
-			txn.Conditions = append(txn.Conditions, state.Condition{Path: state.JobKey(change.jobID), Revision: c.view.Revisions[state.JobKey(change.jobID)]})
+			txn.Conditions = append(txn.Conditions, state.Condition{Path: state.JobKey(change.jobID), Revision: c.view.AcceptedRevision(change.jobID)})
 		}
 		if change.value == nil {
 			txn.Then = append(txn.Then, state.Op{Drop: key})
--- a/internal/controller/user_writes.go
+++ b/internal/controller/user_writes.go
@@ -169,7 +169,7 @@
 // acceptance it is 0: there must be no record yet.
 func (c *controller) expectedRevision(write *userWrite) uint64 {
 	if write.isCancellation() {
-		return c.view.Revisions[state.JobKey(write.jobID)]
+		return c.view.AcceptedRevision(write.jobID)
 	}
 	return 0
 }
--- a/internal/core/shard/writes.go
+++ b/internal/core/shard/writes.go
@@ -20,6 +20,9 @@
 	unanswered bool
 }
 
+// EndedJob returns the ID of the job whose end this is; ok is false for a bundle.
+func (w *Write) EndedJob() (jobID string, ok bool) { return strings.CutPrefix(w.Key, jobKeyPrefix) }
+
 // noSlot is the value of Slot in writes that are not bundles.
 const noSlot = -1
 
@@ -264,8 +267,8 @@
 func (s *State) Committed(writes []Write, now model.Micros) {
 	for i := range writes {
 		write := &writes[i]
-		if write.Slot == noSlot {
-			s.EndJob(strings.TrimPrefix(write.Key, jobKeyPrefix), model.JobDone, now)
+		if jobID, isEnd := write.EndedJob(); isEnd {
+			s.EndJob(jobID, model.JobDone, now)
 			continue
 		}
 		entries := make([]string, 0, len(write.versions))
@@ -315,8 +318,8 @@
 	var unanswered []Write
 	for i := range writes {
 		write := writes[i]
-		if write.Slot == noSlot {
-			endedJobs = append(endedJobs, strings.TrimPrefix(write.Key, jobKeyPrefix))
+		if jobID, isEnd := write.EndedJob(); isEnd {
+			endedJobs = append(endedJobs, jobID)
 			continue
 		}
 		if write.unanswered = write.unanswered || outcomeUnknown; write.unanswered {
--- a/internal/state/keys.go
+++ b/internal/state/keys.go
@@ -79,3 +79,6 @@
 
 // lentJobID returns the job ID in a key with spill.OutPrefix.
 func lentJobID(key string) string { return strings.TrimPrefix(key, spill.OutPrefix) }
+
+// borrowedJobID returns the job ID in a key with spill.InPrefix.
+func borrowedJobID(key string) string { return key[strings.LastIndex(key, separator)+1:] }
--- a/internal/state/spill_status.go
+++ b/internal/state/spill_status.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"strings"
 	"time"
 
 	"woadweir/internal/core/model"
@@ -38,7 +37,7 @@
 		return SpillStatus{}, err
 	}
 	return SpillStatus{
-		Job:   entry.Path[strings.LastIndex(entry.Path, separator)+1:],
+		Job:   borrowedJobID(entry.Path),
 		Cell:  record.Home,
 		State: string(record.State),
 		Token: record.Token,
--- a/internal/state/state_test.go
+++ b/internal/state/state_test.go
@@ -10,6 +10,7 @@
 
 	"woadweir/internal/core/model"
 	"woadweir/internal/core/shard"
+	"woadweir/internal/spill"
 )
 
 // Events may arrive late. An older event must not replace what a newer one or a commit of this
@@ -33,6 +34,49 @@
 	}
 }
 
+// An end is final: no later record of the job changes what a view says of it, nor what follows for
+// its dependents.
+func TestViewKeepsTheFirstEnd(t *testing.T) {
+	accepted := func(id string, awaits ...string) shard.JobRecord {
+		return shard.JobRecord{Spec: &model.Submission{ID: id, Tasks: 2, Kind: "sweep", Priority: "idle", Awaits: awaits}}
+	}
+	for _, end := range []string{model.JobDone, model.JobCancelled} {
+		for _, later := range []shard.JobRecord{{End: model.JobDone, Tasks: 2}, {Spec: accepted("j-1").Spec, End: model.JobCancelled}, accepted("j-1")} {
+			view := NewView()
+			view.Put("job/j-1", accepted("j-1"), 1)
+			view.Put("job/j-2", accepted("j-2", "j-1"), 2)
+			view.Put("job/j-1", shard.JobRecord{End: end, Tasks: 2}, 3)
+			view.Put("job/j-1", later, 4)
+			if got, _, _, _ := view.Status("j-1"); got != end {
+				t.Errorf("%s, then %+v: status %s", end, later, got)
+			}
+			if got := view.Jobs["j-2"].Ready(); got != (end == model.JobDone) {
+				t.Errorf("%s, then %+v: a dependent is ready: %v", end, later, got)
+			}
+			if got := view.AcceptedRevision("j-1"); got != 1 {
+				t.Errorf("%s, then %+v: accepted at revision %d, want 1", end, later, got)
+			}
+		}
+	}
+}
+
+// A record is that of the job that its key names, whatever ID its submission has.
+func TestKeyNamesTheJob(t *testing.T) {
+	view := NewView()
+	named := model.Submission{ID: "j-9", Tasks: 2}
+	view.Put("job/j-1", shard.JobRecord{Spec: &named}, 1)
+	view.Put("spill/in/south/j-1", spill.InRecord{Spec: &named}, 2)
+	if got := view.Jobs["j-1"].Submission.ID; got != "j-1" {
+		t.Errorf("job j-1: the submission names %s", got)
+	}
+	if got := view.BorrowedJobs["spill/in/south/j-1"].Spec.ID; got != "j-1" {
+		t.Errorf("borrowed job j-1: the submission names %s", got)
+	}
+	if view.Known("j-9") || named.ID != "j-9" {
+		t.Errorf("job j-9 is known: %v; the record's submission names %s, want it unchanged", view.Known("j-9"), named.ID)
+	}
+}
+
 // A machine may have entries in several bundles. The latest one must count whatever the order in
 // which the bundles are read, and an entry that its bundle no longer has must be dropped.
 func TestViewOfBundles(t *testing.T) {
--- a/internal/state/view.go
+++ b/internal/state/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"log/slog"
 
 	"woadweir/internal/core/model"
 	"woadweir/internal/core/shard"
@@ -153,6 +154,7 @@
 	case spill.OutRecord:
 		v.LentJobs[lentJobID(key)] = &record
 	case spill.InRecord:
+		record.Spec = submissionOf(borrowedJobID(key), record.Spec)
 		v.BorrowedJobs[key] = &record
 	default:
 		panic("state: value of unknown type for key " + key)
@@ -160,11 +162,16 @@
 	v.Revisions[key] = revision
 }
 
-// putJob applies a job's submission or its end, and the consequences for its dependents.
+// putJob applies a job's submission or its end, and the consequences for its dependents. An end is
+// final: a later record of the job is not applied.
 func (v *View) putJob(jobID string, record shard.JobRecord, revision uint64) {
 	job := v.job(jobID)
-	isNew := job.Submission == nil && job.End == ""
-	job.Submission = record.Spec
+	if job.End != "" {
+		slog.Error("a job that has ended has another record: the first end stays", "job", jobID, "end", job.End, "ignored", record.End, "revision", revision)
+		return
+	}
+	isNew := job.Submission == nil
+	job.Submission = submissionOf(jobID, record.Spec)
 	if record.End == "" {
 		job.Revision = revision
 	} else {
@@ -178,6 +185,18 @@
 	}
 }
 
+// submissionOf returns the submission of the job that a record's key names. A submission that
+// names another job must not be taken for that job's.
+func submissionOf(jobID string, submission *model.Submission) *model.Submission {
+	if submission == nil || submission.ID == jobID {
+		return submission
+	}
+	slog.Error("a record's submission names another job than its key: the key counts", "job", jobID, "named", submission.ID)
+	renamed := *submission
+	renamed.ID = jobID
+	return &renamed
+}
+
 func (v *View) setJobEnd(jobID string, job *JobView, record *shard.JobRecord) {
 	job.End, job.endMs = record.End, record.EndedMs
 	if record.End == model.JobDone {
@@ -234,6 +253,16 @@
 	}
 }
 
+// AcceptedRevision returns the revision at which a job's acceptance was written, 0 if it is not
+// known. A write on condition that the job's record is still at this revision can't replace the
+// job's end, whatever the view contains.
+func (v *View) AcceptedRevision(jobID string) uint64 {
+	if job := v.Jobs[jobID]; job != nil {
+		return job.Revision
+	}
+	return 0
+}
+
 // Known reports whether a job was accepted.
 func (v *View) Known(jobID string) bool {
 	job := v.Jobs[jobID]
