Settings: keys that differ from a known one in case are unknown, and ignored

Change: keys that are not in lower case are taken out before the document is decoded; all keys of the settings are in lower case, which a test demands. A document without such keys, as all that are known, is decoded as it is, once more than before, at the start only. The operators' XML files are not reached: encoding/xml matches names exactly (tried).

Test: TestUnknownSettingsAreIgnored puts other spellings of each known key and table, with values of several types, before and after it. Seen failing with the removal taken out (scratch edit), passing with it. No user has reported this one.

--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -127,6 +127,10 @@
 
 // Parse parses and checks settings. A FieldError names the first invalid field.
 func Parse(raw []byte) (*Settings, error) {
+	raw, err := withoutFoldedKeys(raw)
+	if err != nil {
+		return nil, err
+	}
 	settings := new(Settings)
 	if err := toml.Unmarshal(raw, settings); err != nil {
 		return nil, addFieldPath(err)
@@ -134,6 +138,43 @@
 	return settings, settings.check()
 }
 
+// withoutFoldedKeys removes the keys that are not in lower case from a TOML document. They are
+// unknown, because all keys of Settings are in lower case, but the TOML decoder matches keys
+// without regard to case.
+func withoutFoldedKeys(raw []byte) ([]byte, error) {
+	var document map[string]any
+	if err := toml.Unmarshal(raw, &document); err != nil {
+		return nil, err
+	}
+	if !removeFoldedKeys(document) {
+		return raw, nil
+	}
+	return toml.Marshal(document)
+}
+
+// removeFoldedKeys removes the keys that are not in lower case from a TOML value and the tables
+// in it. It reports whether there were any.
+func removeFoldedKeys(value any) (removed bool) {
+	switch value := value.(type) {
+	case map[string]any:
+		for key, element := range value {
+			if key != strings.ToLower(key) {
+				delete(value, key)
+				removed = true
+			} else if removeFoldedKeys(element) {
+				removed = true
+			}
+		}
+	case []any:
+		for _, element := range value {
+			if removeFoldedKeys(element) {
+				removed = true
+			}
+		}
+	}
+	return removed
+}
+
 // addFieldPath adds the path of the field to an error of the TOML decoder, whose text names
 // the Go type instead.
 func addFieldPath(err error) error {
--- a/internal/config/settings_test.go
+++ b/internal/config/settings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -80,6 +81,64 @@
 	}
 }
 
+// Unknown settings have to be ignored, and keys are case-sensitive. A setting that differed from a
+// known one in case alone replaced it.
+func TestUnknownSettingsAreIgnored(t *testing.T) {
+	document := validSettings + "[params.state.next]\nrps = 90.0\nwrite_rps = 28.0\nvalue_kb = 2.0\ntxn_ops = 12\n"
+	want, err := Parse([]byte(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	check := func(changed string) {
+		if got, err := Parse([]byte(changed)); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("%s\ngot  %+v, error %v\nwant %+v", changed, got, err, want)
+		}
+	}
+	lines := strings.SplitAfter(document, "\n")
+	for i, line := range lines {
+		key, _, isSetting := strings.Cut(line, " = ")
+		if !isSetting {
+			continue
+		}
+		for _, other := range []string{strings.ToUpper(key), strings.ToUpper(key[:1]) + key[1:], strings.Replace(`"`+key+`"`, "k", "\u212a", 1)} {
+			if other == `"`+key+`"` {
+				continue // the same key, quoted
+			}
+			for _, value := range []string{"7", "\"10.9.9.9:1\"", "[]", "{ x = 2024-01-01 }"} {
+				unknown := other + " = " + value + "\n"
+				check(strings.Join(lines[:i], "") + unknown + strings.Join(lines[i:], ""))
+				check(strings.Join(lines[:i+1], "") + unknown + strings.Join(lines[i+1:], ""))
+			}
+		}
+	}
+	for _, table := range []string{"[Services]\ncloud = \"10.9.9.9:1\"\n", "[params.Workers]\nlease_s = 99.0\n", "[[params.Teams]]\nname = \"blue\"\n", "[[Siblings]]\nnode_name = \"n9\"\n",
+		"[Params.state]\nrps = nan\n", "[params.\"wor\u212aers\"]\nlease_s = 99.0\n"} {
+		check(document + table)
+		check(strings.Replace(document, "[[siblings]]", table+"[[siblings]]", 1))
+	}
+}
+
+// All keys of the settings are in lower case: other keys are taken to be unknown.
+func TestKeysAreInLowerCase(t *testing.T) {
+	var visit func(settings reflect.Type)
+	visit = func(settings reflect.Type) {
+		for settings.Kind() == reflect.Slice || settings.Kind() == reflect.Pointer {
+			settings = settings.Elem()
+		}
+		if settings.Kind() != reflect.Struct {
+			return
+		}
+		for i := range settings.NumField() {
+			field := settings.Field(i)
+			if key := field.Tag.Get("toml"); !field.Anonymous && (key == "" || key != strings.ToLower(key)) {
+				t.Errorf("%s.%s: key %q is not in lower case", settings, field.Name, key)
+			}
+			visit(field.Type)
+		}
+	}
+	visit(reflect.TypeFor[Settings]())
+}
+
 // Of the current and the next limits of the state service, the smaller ones apply, each by
 // itself.
 func TestNextLimits(t *testing.T) {
