--- a/internal/controller/submissions.go
+++ b/internal/controller/submissions.go
@@ -8,9 +8,6 @@
 	"woadweir/internal/userapi"
 )
 
-// serviceKind is the kind of a submission of a service. Services never end.
-const serviceKind = "service"
-
 // submit answers a submission, or queues it to be written to the state service. Submissions
 // are idempotent: one of a known job is answered with that job's status.
 func (c *controller) submit(m msgSubmit) {
@@ -77,7 +74,7 @@
 			return "awaits itself"
 		case !c.view.Known(dependency):
 			return "awaits " + dependency + ", which was never accepted"
-		case job.Submission != nil && job.Submission.Kind == serviceKind:
+		case job.Submission != nil && job.Submission.IsService():
 			return "awaits " + dependency + ", a service"
 		}
 	}
--- a/internal/core/model/binding.go
+++ b/internal/core/model/binding.go
@@ -20,5 +20,4 @@
 	StopGrace                     Micros // grace period of that stop
 	StopDecidedAt                 Micros // when the stop was decided
 	StopSentAt                    Micros // when the stop command was first sent
-	StopReason                    string // why the task is stopped
 }
--- a/internal/core/model/submission.go
+++ b/internal/core/model/submission.go
@@ -95,6 +95,9 @@
 	return submission, submission.check()
 }
 
+// IsService reports whether the job is a service. Services never end by themselves.
+func (s *Submission) IsService() bool { return jobKinds[s.Kind] == Service }
+
 // ValidJobID reports whether s has the form of a job id and can be part of a key.
 func ValidJobID(s string) bool {
 	rest, ok := strings.CutPrefix(s, "j-")
--- a/internal/core/shard/bindings.go
+++ b/internal/core/shard/bindings.go
@@ -124,7 +124,7 @@
 		binding.StopDecidedAt = now
 		s.Log(Event{Kind: EventStop, Machine: binding.Machine.ID, Task: binding.ID.String(), Attempt: binding.Attempt, Reason: reason})
 	}
-	binding.Stopping, binding.StopGrace, binding.StopReason = true, grace, reason
+	binding.Stopping, binding.StopGrace = true, grace
 }
 
 // stopBeforeReclaim stops the tasks on a spot machine that is about to be reclaimed, if
--- a/internal/standin/rules.go
+++ b/internal/standin/rules.go
@@ -5,7 +5,6 @@
 	"slices"
 
 	"woadweir/internal/core/model"
-	"woadweir/internal/jsoncodec"
 )
 
 // InvariantChecker checks the invariants that must hold under every failure. The workers
@@ -70,10 +69,6 @@
 		reportedEnd: map[string]string{}, endReportedAt: map[string]model.Micros{}, Accepted: map[string]bool{}, Awaits: map[string][]string{}, lastAnsweredAt: map[string]model.Micros{}, waitingSince: map[string]model.Micros{}}
 }
 
-// maxUnanswered is how long all requests about an accepted job may go unanswered once all
-// failures are over, regardless of whether requests about other jobs are answered.
-const maxUnanswered = 75 * model.Second
-
 func (c *InvariantChecker) addViolation(format string, args ...any) {
 	c.Violations = append(c.Violations, fmt.Sprintf("%.3f ", c.sim.Now.Seconds())+fmt.Sprintf(format, args...))
 }
@@ -212,87 +207,6 @@
 	}
 }
 
-// checkAnswer checks an answer whose body has been decoded.
-func (c *InvariantChecker) checkAnswer(jobID string, code int, status string, sentAt model.Micros) {
-	if endedAt, ok := c.endReportedAt[jobID]; ok && sentAt <= endedAt {
-		return // sent before the final status was reported: both statuses are correct
-	}
-	if code != 200 && code != 201 {
-		c.checkRefusal(jobID, code)
-		return
-	}
-	c.lastAnsweredAt[jobID] = c.sim.Now
-	job := c.Submitted[jobID]
-	if job == nil {
-		c.addViolation("invented: %s", jobID)
-		return
-	}
-	c.Accepted[jobID] = true
-	if previous := c.reportedEnd[jobID]; previous != "" && previous != status {
-		c.addViolation("went_back: %s was %s, is %s", jobID, previous, status)
-	}
-	if !c.checkStatus(jobID, status, sentAt) {
-		return
-	}
-	if c.reportedEnd[jobID] == "" {
-		c.reportedEnd[jobID] = status
-		c.endReportedAt[jobID] = c.sim.Now
-	}
-}
-
-// checkRefusal checks a refused or unanswered request about a job.
-func (c *InvariantChecker) checkRefusal(jobID string, code int) {
-	if !c.Accepted[jobID] {
-		return
-	}
-	switch code {
-	case 400, 404, 422:
-		c.addViolation("forgotten: %s answered %d", jobID, code)
-	default:
-		if c.FaultsOverAt > 0 && c.sim.Now-max(c.FaultsOverAt, c.lastAnsweredAt[jobID]) > maxUnanswered {
-			c.addViolation("forgotten: requests about %s have not been answered for too long", jobID)
-		}
-	}
-}
-
-// checkStatus checks a reported status against what has happened, and reports whether it is
-// final.
-func (c *InvariantChecker) checkStatus(jobID, status string, sentAt model.Micros) (ended bool) {
-	switch status {
-	case "done":
-		if !c.isComplete(jobID) {
-			c.addViolation("not_done: %s", jobID)
-		}
-		return true
-	case model.JobCancelled:
-		if !c.cancelRequested(jobID) {
-			c.addViolation("went_back: %s is withdrawn, but nobody requested that", jobID)
-		}
-		return true
-	}
-	c.eachDependency(jobID, func(dependency string) {
-		if reportedAt, ok := c.endReportedAt[dependency]; ok && c.reportedEnd[dependency] == model.JobCancelled && sentAt > reportedAt+c.CancelLimit {
-			c.addViolation("orphaned: %s is %s after %s was withdrawn", jobID, status, dependency)
-		}
-	})
-	return false
-}
-
-// cancelRequested reports whether a user requested the cancellation of a job or of one of
-// its dependencies.
-func (c *InvariantChecker) cancelRequested(jobID string) bool {
-	_, requested := c.cancelRequestedAt[jobID]
-	c.eachDependency(jobID, func(dependency string) {
-		_, ok := c.cancelRequestedAt[dependency]
-		requested = requested || ok
-	})
-	return requested
-}
-
-// ReportedEnd returns the final status of a job that users were told, or "" if they were
-// told none.
-func (c *InvariantChecker) ReportedEnd(jobID string) string { return c.reportedEnd[jobID] }
-
 // TasksOnMachines returns how many task attempts are on machines.
 func (c *InvariantChecker) TasksOnMachines() (n int) {
 	for _, tasks := range c.onMachines {
@@ -311,9 +225,6 @@
 	return n
 }
 
-// EndReportedAt returns when a user was first told a job's final status, or 0 if no user was.
-func (c *InvariantChecker) EndReportedAt(jobID string) model.Micros { return c.endReportedAt[jobID] }
-
 // Used returns the resources of machines that a team's tasks use, where there is one cell.
 func (c *InvariantChecker) Used(team string) model.Resources { return c.used[limitKey{team: team}] }
 
@@ -329,86 +240,3 @@
 func (c *InvariantChecker) limitKeys(t *Task) [2]limitKey {
 	return [2]limitKey{{t.job.Team, t.worker.Cell, false}, {t.job.Team, c.HomeCells[t.job.ID], true}}
 }
-
-// maxWait is how long a job may wait, once all failures are over, while suitable machines
-// have room and its team is below its limit.
-const maxWait = 90 * model.Second
-
-// CheckWaiting checks that no job waits longer than maxWait. It is meant to be called about
-// every second, with the workers that are up and reachable.
-func (c *InvariantChecker) CheckWaiting(workers []*Worker) {
-	for jobID := range c.Accepted {
-		if !c.isWaiting(jobID) || !c.canStart(c.Submitted[jobID], workers) {
-			delete(c.waitingSince, jobID)
-			continue
-		}
-		since, ok := c.waitingSince[jobID]
-		if !ok {
-			c.waitingSince[jobID] = c.sim.Now
-		} else if c.sim.Now-since > maxWait {
-			c.addViolation("left waiting: %s waits for %.0f s although machines have room", jobID, (c.sim.Now - since).Seconds())
-			c.waitingSince[jobID] = c.sim.Now
-		}
-	}
-}
-
-// isWaiting reports whether a job may run but none of its tasks is on a machine.
-func (c *InvariantChecker) isWaiting(jobID string) bool {
-	if _, cancelled := c.cancelRequestedAt[jobID]; cancelled || c.reportedEnd[jobID] != "" || c.JobTasksOnMachines(jobID) > 0 || c.isComplete(jobID) {
-		return false
-	}
-	for _, dependency := range c.Awaits[jobID] {
-		if !c.isComplete(dependency) {
-			return false
-		}
-	}
-	return true
-}
-
-// canStart reports whether the machines and the team's limit have room for one task of a
-// job, or for all tasks of a gang.
-func (c *InvariantChecker) canStart(job *model.Job, workers []*Worker) bool {
-	count := 1
-	if job.Kind == model.Gang {
-		count = job.Tasks
-	}
-	remaining := c.Teams[job.Team].Limit.Minus(c.Used(job.Team))
-	request := job.Request
-	request.Mem = 0
-	if request.FitCount(remaining, count) < count {
-		return false
-	}
-	inZone := map[string]int{}
-	for _, worker := range workers {
-		if !worker.hung && !worker.FailsTasks && worker.reclaimedAt == 0 && job.Allows(worker.MachineType, worker.Zone, worker.Spot) {
-			inZone[worker.Zone] += job.Request.FitCount(worker.Size.Minus(worker.used()), count)
-		}
-	}
-	sum := 0
-	for _, n := range inZone {
-		n = min(n, job.MaxPerZone())
-		if job.SameZone && n >= count {
-			return true
-		}
-		sum += n
-	}
-	return !job.SameZone && sum >= count
-}
-
-// CheckAnswer checks the answer that a user got to a request sent at sentAt.
-func (c *InvariantChecker) CheckAnswer(jobID string, code int, body []byte, sentAt model.Micros) {
-	var answer struct {
-		Ref    string `json:"ref"`
-		Status string `json:"status"`
-	}
-	if code == 200 || code == 201 {
-		if err := jsoncodec.Unmarshal(body, &answer); err != nil || answer.Ref != jobID {
-			c.addViolation("answer about %s is not valid JSON or names another job: %s", jobID, body)
-			return
-		}
-	}
-	c.checkAnswer(jobID, code, answer.Status, sentAt)
-}
-
-// CancelRequested records that a user requests the cancellation of a job.
-func (c *InvariantChecker) CancelRequested(jobID string) { c.cancelRequestedAt[jobID] = c.sim.Now }
